--- /dev/null
+++ b/router/port.go
@@ -0,0 +1,90 @@
+// Package router decides where a front end sends its RPCs.
+//
+// This file is the interface alone: ids, times, outcomes, and what the module may do (Port).
+// The module itself, with every decision, is router.go.
+package router
+
+// Time is a clock reading or a span, in whole tenths of a millisecond.
+type Time int64
+
+// Each kind of id is a type of its own; ids have no order and tell nothing.
+type (
+	RPCID      uint32
+	WorkerID   uint32
+	FunctionID uint64
+	MethodID   uint16
+	CustomerID uint32
+	ZoneID     uint16
+	CellID     uint16
+	KindID     uint8
+	PeerID     uint16
+)
+
+// Outcome is how a call-out, a check or a load order ended.
+type Outcome uint8
+
+const (
+	OK            Outcome = iota // answered
+	Errored                      // the worker answered with an error; it may have run
+	Full                         // not taken; it never ran
+	TimedOut                     // no answer in time; it may have run
+	ConnectFailed                // no connection; it never ran
+	Reset                        // the connection broke; it may have run
+	CalledOff                    // retracted; it may have run
+	Moot                         // never sent
+	Missed                       // not loaded there, or its load failed; it never ran
+)
+
+// Warmth is what an answer tells of the copy that ran the RPC.
+type Warmth uint8
+
+const (
+	Untold     Warmth = iota
+	StoodWarm         // a copy stood loaded
+	BeganLoad         // this RPC began a load
+	JoinedLoad        // it waited for a load begun before
+	LoadFailed        // the load failed
+)
+
+// Readiness is a worker's state in the list.
+type Readiness uint8
+
+const (
+	Gone Readiness = iota
+	Ready
+	Draining
+)
+
+// ListForm is how the entries that follow relate to the list the front end has.
+type ListForm uint8
+
+const (
+	Changes ListForm = iota
+	Whole
+	Cached
+	Failed
+)
+
+// Effects of a method, as the settings name them.
+const (
+	Idempotent    = "idempotent"
+	Tokened       = "tokened"
+	SideEffecting = "side-effecting"
+)
+
+// Settings are the front end's settings by name, dots between levels and places in lists: numbers, truths
+// and words. Times are in tenths of a millisecond, lists tell their length under the bare name.
+type Settings map[string]any
+
+// Port is what the module acts through.
+type Port interface {
+	Send(rpc RPCID, w WorkerID, limit Time) // a new call-out; limit 0: until the client's time is up
+	Deny(rpc RPCID, comeBack Time)          // final answer: a retry is harmless
+	Abort(rpc RPCID)                        // final answer: promises nothing
+	Retract(rpc RPCID, n int)               // call off the RPC's n-th call-out
+	Remind(after Time, token uint64)        // ask for Router.Reminded
+	Check(w WorkerID)                       // probe a worker
+	Hold(w WorkerID, fn FunctionID, n int)  // order at least n copies held
+	Listen()                                // ask for changes of the list from now on
+	Log(text string)                        // one line for those on call
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,955 @@
+// The decision module of mallowlanding: every decision, table and tuned value is in this file.
+//
+// How it is called: New makes one Router for each front end. Take hands it an RPC and returns the RPC's
+// handle; what happens to that RPC later is a method call on the handle (Ended, Left, Flowing). The list of
+// workers comes as ListBegins, Listed..., ListEnds; orders and checks are answered by Held and Checked, timers
+// by Reminded. After the events of one moment the caller calls Settle once. The module acts through Port.
+// Port, the ids and the words for outcomes and effects are in port.go. Nothing here reads a clock, does I/O or
+// starts a goroutine; the same events lead to the same actions.
+//
+// The ordinary path (docs/design.md) is RPC.place: a warm instance with room, else a load under the caps,
+// else the queue.
+package router
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strconv"
+)
+
+const (
+	ms  Time = 10
+	sec Time = 1000 * ms
+
+	beat         = 20 * ms  // pace of housekeeping; the leave margins below are several beats
+	fnCap        = 5        // the design's cap of instances for a function, raised to recent in flight
+	queueCap     = 100      // RPCs held for one function
+	loadErrors   = 3        // load errors in a row that halt a function (design)
+	loadBackMin  = sec      // first backoff of loads, doubling (design: 1 s)
+	loadBackMax  = 10 * sec // last one (design: 10 s)
+	priorLoad    = sec      // a load's time before any was seen or told
+	priorWork    = sec / 10 // an RPC's time on a warm instance before any was seen
+	illBackMin   = sec      // first pause of a worker found ill, doubling
+	illBackMax   = 8 * sec
+	errorsIll    = 0.5 // smoothed share of errors above which a worker is ill
+	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
+	silentWorks  = 6   // an answer later than so many usual times counts towards silence
+	needFade     = 3 * sec
+	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
+)
+
+// Router is the decision module of one front end.
+type Router struct {
+	port Port
+	rng  *rand.Rand
+	now  Time
+	set  Settings
+
+	methods   []*method
+	customers []*customer
+	workers   map[WorkerID]*worker
+	list      []*worker // by id
+	fns       map[FunctionID]*function
+	held      []*RPC // in order of arrival
+	out       []*RPC // with a call-out out
+	orders    []Time // load orders within the ration's window
+	taken     []Time // RPCs taken within it
+	served    map[KindID]float64
+	servedAt  Time
+	room      float64 // loads that may be pending at once: the total cap, learned from the store
+	pending   int
+	allIll    bool
+	dirty     bool
+	whole     bool
+}
+
+type method struct {
+	gain, lateShare float64
+	soft, deadline  Time
+	effect, group   string
+	window          Time
+	work            float64 // mean time on a warm instance
+	cost            float64 // mean work told by hints, else work
+}
+
+type customer struct {
+	quota, tokens float64
+	at            Time
+}
+
+type function struct {
+	id       FunctionID
+	memory   float64
+	lanes    int
+	load     float64 // usual time of a load
+	work     float64 // usual time on a warm instance
+	active   int     // RPCs out
+	held     int
+	need     float64 // recent peak of RPCs out and held
+	needAt   Time
+	errors   int // load errors in a row
+	backoff  Time
+	loadNext Time // no load before
+	halted   bool
+}
+
+// instance is what is believed of one function's copies on one worker.
+type instance struct {
+	copies   int
+	loading  bool
+	ordered  bool // the load under way is an order's
+	since    Time // when the load began, then when it was first warm
+	active   int
+	executed int
+	lastUse  Time
+	others   float64 // RPCs of other front ends there, as answers tell
+}
+
+// worker is the one record of a worker.
+type worker struct {
+	id        WorkerID
+	state     Readiness
+	zone      ZoneID
+	cell      CellID
+	kind      KindID
+	size      float64
+	started   Time
+	known     bool // started is a real start, within this front end's memory
+	listed    bool
+	holds     map[FunctionID]*instance
+	active    int
+	limit     float64 // RPCs of ours there at once
+	heard     Time    // last answer
+	errors    float64
+	slow      float64
+	ill       string // symptom, or ""
+	illUntil  Time
+	illBack   Time
+	checking  bool
+	trial     bool
+	fullUntil Time
+	sent      []sending // while cold
+	util      float64
+	pinned    float64
+	loads     float64
+}
+
+type sending struct {
+	at   Time
+	cost float64
+}
+
+type callOut struct {
+	w         *worker
+	at        Time
+	done      bool
+	retracted bool
+	cold      bool // it began or joined a load
+}
+
+// RPC is the handle of one RPC.
+type RPC struct {
+	r        *Router
+	id       RPCID
+	m        *method
+	fn       *function
+	gain     float64
+	at, end  Time
+	calls    []callOut
+	out      int
+	queued   bool
+	ended    bool
+	flowing  bool
+	risk     *worker // worker of the first call-out that may have run
+	riskAt   Time
+	mayHave  bool // a call-out that is over may have run
+	lastLoad Time
+}
+
+func (s Settings) num(name string, or float64) float64 {
+	if v, ok := s[name].(float64); ok {
+		return v
+	}
+	return or
+}
+
+func (s Settings) span(name string, or Time) Time { return Time(s.num(name, float64(or))) }
+
+func (s Settings) is(name string) bool { v, _ := s[name].(bool); return v }
+
+func (s Settings) word(name string) string { v, _ := s[name].(string); return v }
+
+// New starts the module of one front end.
+func New(port Port, now Time, seed int64, s Settings) *Router {
+	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
+		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, served: map[KindID]float64{},
+		servedAt: now}
+	for i := range int(s.num("methods", 0)) {
+		at := "methods." + strconv.Itoa(i) + "."
+		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
+			soft: s.span(at+"soft-deadline", sec), deadline: s.span(at+"deadline", 3*sec),
+			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
+			work: float64(priorWork)})
+	}
+	for i := range int(s.num("customers", 0)) {
+		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / s.num("front-ends", 1) / float64(sec)
+		r.customers = append(r.customers, &customer{quota: quota, tokens: quota * float64(sec), at: now})
+	}
+	if s.word("list") == "asked" {
+		port.Listen()
+	}
+	port.Remind(beat, 0)
+	return r
+}
+
+// ListBegins, Listed and ListEnds bring the list of workers, or its changes.
+func (r *Router) ListBegins(now Time, form ListForm, _ uint64) {
+	r.now, r.dirty = now, true
+	r.whole = form == Whole || form == Cached
+	if form == Failed {
+		r.port.Listen()
+	}
+	if r.whole {
+		for _, w := range r.list {
+			w.listed = false
+		}
+	}
+}
+
+// Listed is one entry of the list.
+func (r *Router) Listed(now Time, id WorkerID, state Readiness, started Time, zone ZoneID, cell CellID,
+	kind KindID, size float64) {
+	w := r.workers[id]
+	if w == nil {
+		w = &worker{id: id, started: started, known: started > 0, limit: startingRoom, slow: 1,
+			holds: map[FunctionID]*instance{}}
+		r.workers[id] = w
+		at, _ := slices.BinarySearchFunc(r.list, id, func(w *worker, id WorkerID) int {
+			return int(int64(w.id) - int64(id))
+		})
+		r.list = slices.Insert(r.list, at, w)
+	} else if started > w.started {
+		w.restart(started)
+		w.ill, w.trial = "", false
+	}
+	w.listed, w.zone, w.cell, w.kind, w.size = true, zone, cell, kind, size
+	if state != Ready && w.state == Ready {
+		w.holds = map[FunctionID]*instance{}
+	}
+	w.state = state
+}
+
+// ListEnds closes the list: what a whole list leaves out is gone.
+func (r *Router) ListEnds(now Time) {
+	for _, w := range r.list {
+		if r.whole && !w.listed {
+			w.state = Gone
+			w.holds = map[FunctionID]*instance{}
+		}
+	}
+	r.recount()
+	if r.room == 0 {
+		r.room = 2 * float64(len(r.list)) / r.set.num("front-ends", 1)
+	}
+}
+
+// recount derives the count of pending loads anew after records were dropped.
+func (r *Router) recount() {
+	r.pending = 0
+	for _, w := range r.list {
+		for _, in := range w.holds {
+			if in.loading {
+				r.pending++
+			}
+		}
+	}
+}
+
+// restart forgets what stood on a worker that began anew: it is empty and cold.
+func (w *worker) restart(at Time) {
+	w.started, w.known = at, true
+	w.holds = map[FunctionID]*instance{}
+	w.sent, w.limit, w.errors, w.slow = nil, startingRoom, 0, 1
+}
+
+// Take takes an RPC and returns its handle. Cost is the hint's core time, 0 where there is none.
+func (r *Router) Take(now Time, id RPCID, m MethodID, c CustomerID, fid FunctionID, budget Time, cost,
+	memory float64, lanes int, load Time, _ bool) *RPC {
+	r.now, r.dirty = now, true
+	fn := r.fns[fid]
+	if fn == nil {
+		fn = &function{id: fid, load: float64(priorLoad), work: r.methods[m].work, backoff: loadBackMin}
+		if load > 0 {
+			fn.load = float64(load)
+		}
+		r.fns[fid] = fn
+	}
+	fn.memory, fn.lanes = memory, max(lanes, 1)
+	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, end: now + budget, gain: r.methods[m].gain}
+	if cost > 0 {
+		p.m.cost += (cost - p.m.cost) / 20
+	}
+	if int(c) < len(r.customers) && !r.customers[c].within(now) {
+		p.gain *= r.set.num("over-share-gain", 1)
+	}
+	r.taken = append(r.taken, now)
+	if !p.place() {
+		p.hold()
+	}
+	fn.need = max(fn.recent(now), float64(fn.active+fn.held))
+	fn.needAt = now
+	return p
+}
+
+// within takes one RPC off the customer's share as this front end sees it.
+func (c *customer) within(now Time) bool {
+	c.tokens = min(c.tokens+c.quota*float64(now-c.at), 2*c.quota*float64(sec))
+	c.at = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+func (fn *function) recent(now Time) float64 {
+	return fn.need * math.Exp(-float64(now-fn.needAt)/float64(needFade))
+}
+
+// place is the ordinary path: a warm instance with room, else a load under the caps. It tells whether the RPC
+// went out; if not, the caller holds it.
+func (p *RPC) place() bool {
+	r := p.r
+	if len(p.calls) >= int(r.set.num("may.call-outs", 1)) {
+		return false
+	}
+	var best, joining *worker
+	count := 0
+	for _, w := range r.list {
+		in := w.holds[p.fn.id]
+		if in == nil || !r.live(w, in) {
+			continue
+		}
+		count += in.copies
+		if !p.mayUse(w) || !in.hasRoom(p.fn) {
+			continue
+		}
+		if in.loading {
+			if !in.ordered && (joining == nil || in.before(joining.holds[p.fn.id], r.rng)) {
+				joining = w
+			}
+		} else if best == nil || in.before(best.holds[p.fn.id], r.rng) {
+			best = w
+		}
+	}
+	if best != nil {
+		p.send(best)
+		return true
+	}
+	if joining != nil {
+		p.send(joining)
+		return true
+	}
+	return p.load(count)
+}
+
+// before is the design's order of ties among warm instances.
+func (in *instance) before(other *instance, rng *rand.Rand) bool {
+	switch {
+	case in.active != other.active:
+		return in.active < other.active
+	case in.executed != other.executed:
+		return in.executed < other.executed
+	case in.lastUse != other.lastUse:
+		return in.lastUse < other.lastUse
+	case in.since != other.since:
+		return in.since < other.since
+	}
+	return rng.Intn(2) == 0
+}
+
+// hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
+func (in *instance) hasRoom(fn *function) bool {
+	return in.active < in.copies*fn.lanes && float64(in.active)+in.others < float64(in.copies*fn.lanes)
+}
+
+// live drops an instance that has idled past the least keep-alive.
+func (r *Router) live(w *worker, in *instance) bool {
+	return in.loading || in.active > 0 || r.now-in.lastUse < r.set.span("functions.keep-alive", 10*sec)
+}
+
+// load starts a load under the caps. Where a warm instance stands busy and orders are allowed, the load is
+// ordered and the RPC waits for whichever comes first; else it goes to the loading worker at once.
+func (p *RPC) load(count int) bool {
+	r, fn := p.r, p.fn
+	need := max(fn.recent(r.now), float64(fn.active+1))
+	limit := min(math.Ceil(need/float64(fn.lanes)), max(fnCap, need))
+	// Exception: an RPC held for as long as a load takes lifts the cap to the design's own figure.
+	if p.queued && float64(r.now-p.at) > fn.load {
+		limit = max(fnCap, need)
+	}
+	if float64(count) >= limit || float64(r.pending) >= r.room || r.now < fn.loadNext {
+		return false
+	}
+	w := p.loadTarget()
+	if w == nil {
+		return false
+	}
+	if fn.halted {
+		fn.loadNext = r.now + fn.backoff // one trial load
+	}
+	in := w.holds[fn.id]
+	if in == nil {
+		in = &instance{}
+		w.holds[fn.id] = in
+	}
+	in.copies, in.loading, in.since, in.lastUse = max(in.copies, 1), true, r.now, r.now
+	r.pending++
+	if count > 0 && r.set.is("functions.orders") && r.mayOrder() {
+		in.ordered = true
+		r.orders = append(r.orders, r.now)
+		r.port.Hold(w.id, fn.id, 1)
+		return false
+	}
+	in.ordered = false
+	p.send(w)
+	return true
+}
+
+// mayOrder keeps rule five: orders within the window, this one included, under the ration.
+func (r *Router) mayOrder() bool {
+	window := r.set.span("functions.load-window", 0)
+	if window == 0 {
+		return true
+	}
+	early := func(t Time) bool { return t < r.now-window-ms }
+	r.orders = slices.DeleteFunc(r.orders, early)
+	r.taken = slices.DeleteFunc(r.taken, func(t Time) bool { return t <= r.now-window+ms })
+	ration := r.set.num("functions.load-free", 0) + r.set.num("functions.load-share", 0)*float64(len(r.taken))
+	return float64(len(r.orders)+1) <= ration
+}
+
+// loadTarget is the worker for a new load: a rendezvous hash of function and worker lets front ends that share
+// nothing agree on it; one that is busy or full is passed over. If none is left, the least busy by own count.
+func (p *RPC) loadTarget() *worker {
+	r := p.r
+	var best, idle *worker
+	var bestRank uint64
+	mean := 0.0
+	for _, w := range r.list {
+		mean += float64(w.active) / float64(len(r.list))
+	}
+	for _, w := range r.list {
+		if !p.mayUse(w) || w.holds[p.fn.id] != nil && r.live(w, w.holds[p.fn.id]) {
+			continue
+		}
+		if idle == nil || w.active < idle.active || w.active == idle.active && r.rng.Intn(2) == 0 {
+			idle = w
+		}
+		if w.util > 0.95 || w.pinned > 0.9 || float64(w.active) > 1.5*mean+1 {
+			continue
+		}
+		if rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15 ^ uint64(w.id)); best == nil || rank > bestRank {
+			best, bestRank = w, rank
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return idle
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// mayUse: the rules and the worker's health allow a call-out of this RPC there now.
+func (p *RPC) mayUse(w *worker) bool {
+	r := p.r
+	if w.state != Ready || r.now < w.fullUntil || float64(w.active) >= w.limit || !r.coldRoom(w, p.m) {
+		return false
+	}
+	if w.ill != "" && !r.allIll {
+		// a way back: one RPC that may be repeated tries a worker whose pause is over
+		if !w.trial || w.active > 0 || p.m.effect == SideEffecting {
+			return false
+		}
+	}
+	for _, c := range p.calls {
+		if c.w == w && r.now-c.at < sec {
+			return false
+		}
+	}
+	return p.mayRepeatAt(w)
+}
+
+// mayRepeatAt keeps rule two for a further call-out.
+func (p *RPC) mayRepeatAt(w *worker) bool {
+	if p.out > 0 {
+		return false
+	}
+	if p.risk == nil || p.m.effect == Idempotent {
+		return true
+	}
+	if p.m.effect != Tokened || p.r.now+2*beat > p.riskAt+p.m.window {
+		return false
+	}
+	switch p.m.group {
+	case "all":
+		return true
+	case "zone":
+		return w.zone == p.risk.zone
+	case "cell":
+		return w.cell == p.risk.cell
+	}
+	return false
+}
+
+// coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker must
+// stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm workers
+// of its kind were seen to do for us; as each front end sees its own share, the shares add up by themselves.
+func (r *Router) coldRoom(w *worker, m *method) bool {
+	if !r.cold(w) {
+		return true
+	}
+	window := r.set.span("rules.fall", sec)
+	w.sent = slices.DeleteFunc(w.sent, func(s sending) bool { return s.at < r.now-window-beat })
+	if len(w.sent) == 0 {
+		return true
+	}
+	from := r.set.num("rules.cold-from", 0.1)
+	share := from + (1-from)*max(0, float64(r.now-window-w.started))/float64(r.set.span("rules.cold", 20*sec))
+	warm := 0
+	for _, o := range r.list {
+		if o.kind == w.kind && o.state == Ready && !r.cold(o) {
+			warm++
+		}
+	}
+	budget := r.set.num("rules.fall-multiple", 1) * share * r.served[w.kind] / float64(max(warm, 1)) * float64(window)
+	for _, s := range w.sent {
+		budget -= s.cost
+	}
+	return budget >= m.mean()
+}
+
+func (r *Router) cold(w *worker) bool {
+	return w.known && r.now < w.started+r.set.span("rules.cold", 0)
+}
+
+func (m *method) mean() float64 {
+	if m.cost > 0 {
+		return m.cost
+	}
+	return m.work
+}
+
+// send starts a call-out.
+func (p *RPC) send(w *worker) {
+	r := p.r
+	p.unhold()
+	in := w.holds[p.fn.id]
+	in.active++
+	in.lastUse = r.now
+	w.active++
+	p.fn.active++
+	w.trial = false
+	p.calls = append(p.calls, callOut{w: w, at: r.now, cold: in.loading})
+	if p.out++; p.out == 1 {
+		r.out = append(r.out, p)
+	}
+	if p.risk == nil {
+		p.risk, p.riskAt = w, r.now
+	}
+	if r.cold(w) {
+		w.sent = append(w.sent, sending{r.now, p.m.mean()})
+	}
+	r.port.Send(p.id, w.id, 0)
+}
+
+// hold queues the RPC; a full queue gives up its least gain, latest first.
+func (p *RPC) hold() {
+	r := p.r
+	if p.queued || p.ended {
+		return
+	}
+	p.queued = true
+	p.fn.held++
+	r.held = append(r.held, p)
+	if p.fn.held <= queueCap {
+		return
+	}
+	least := p
+	for _, q := range r.held {
+		if q.fn == p.fn && q.gain < least.gain {
+			least = q
+		}
+	}
+	least.giveUp()
+}
+
+func (p *RPC) unhold() {
+	if p.queued {
+		p.queued = false
+		p.fn.held--
+		p.r.held = slices.DeleteFunc(p.r.held, func(q *RPC) bool { return q == p })
+	}
+}
+
+// giveUp answers at once: denied where a retry is harmless, else aborted.
+func (p *RPC) giveUp() {
+	if p.ended {
+		return
+	}
+	p.unhold()
+	p.ended = true
+	mayHave := p.mayHave || p.out > 0
+	if !mayHave || p.m.effect == Idempotent || p.m.effect == Tokened && p.m.group == "all" {
+		p.r.port.Deny(p.id, p.comeBack())
+	} else {
+		p.r.port.Abort(p.id)
+	}
+}
+
+// comeBack is the time for which the client should stay away.
+func (p *RPC) comeBack() Time {
+	if !p.r.set.is("may.tell-come-back") {
+		return 0
+	}
+	return min(p.r.set.span("may.come-back", 0), max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2))
+}
+
+// Flowing tells that the answer has begun to stream.
+func (p *RPC) Flowing(now Time) { p.r.now, p.flowing = now, true }
+
+// Left tells that the client is gone: no answer is owed.
+func (p *RPC) Left(now Time) {
+	p.r.now, p.r.dirty = now, true
+	p.unhold()
+	p.ended = true
+}
+
+// Over tells that nothing more can happen to the RPC.
+func (p *RPC) Over() bool { return p.ended && p.out == 0 }
+
+// Ended tells how a call-out ended. Closed: no answer is owed any more. Crowd: RPCs of the same function that
+// the worker held when this one came.
+func (p *RPC) Ended(now Time, n int, _ WorkerID, o Outcome, closed bool, warmth Warmth, crowd int, took Time,
+	report []float64) {
+	r := p.r
+	r.now, r.dirty = now, true
+	if n >= len(p.calls) || p.calls[n].done {
+		return
+	}
+	c := &p.calls[n]
+	c.done = true
+	w, in := c.w, c.w.holds[p.fn.id]
+	w.active--
+	p.fn.active--
+	if p.out--; p.out == 0 {
+		r.out = slices.DeleteFunc(r.out, func(q *RPC) bool { return q == p })
+	}
+	if in != nil && in.active > 0 {
+		in.active--
+	}
+	w.report(r, report)
+	p.judge(c, in, o, warmth, crowd, took)
+	if o == OK || o == Errored || o == TimedOut || o == Reset || o == CalledOff {
+		p.mayHave = true
+	} else if !p.mayHave && p.out == 0 {
+		p.risk = nil
+	}
+	if closed {
+		p.unhold()
+		p.ended = true
+	}
+	if p.ended || p.out > 0 {
+		return
+	}
+	if p.mayHave && p.m.effect == SideEffecting || o == TimedOut && !c.retracted || r.now >= p.leaveAt() ||
+		len(p.calls) >= int(r.set.num("may.call-outs", 1)) {
+		p.giveUp()
+		return
+	}
+	if !p.place() {
+		p.hold()
+	}
+}
+
+// judge learns from a call-out's end about the worker, the instance and the function.
+func (p *RPC) judge(c *callOut, in *instance, o Outcome, warmth Warmth, crowd int, took Time) {
+	r, w, fn := p.r, c.w, p.fn
+	switch o {
+	case OK:
+		w.heard = r.now
+		w.errors -= w.errors / 4
+		r.serve(w, p.m.mean())
+		if in == nil {
+			in = &instance{copies: 1, since: r.now}
+			w.holds[fn.id] = in
+		}
+		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold
+		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
+		in.executed++
+		in.lastUse = r.now
+		in.others += (max(0, float64(crowd-in.active)) - in.others) / 4
+		if !cold {
+			ratio := float64(took) / fn.work
+			w.slow += (min(ratio, 10) - w.slow) / 8
+			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
+			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
+			if took > p.m.soft/2 {
+				w.limit = max(1, w.limit*0.9)
+			} else if float64(w.active+2) > w.limit {
+				w.limit += 1 / w.limit
+			}
+		}
+		if w.ill != "" && w.slow <= slowIll && w.errors <= errorsIll {
+			r.port.Log(fmt.Sprintf("worker %d well again after %s: slow %.1f errors %.2f", w.id, w.ill, w.slow, w.errors))
+			w.ill, w.illBack, w.trial = "", 0, false
+		} else if w.ill == "" && w.slow > slowIll {
+			w.sicken(r, "slowness", w.slow)
+		}
+	case Errored, Missed:
+		w.heard = r.now
+		if warmth == LoadFailed || o == Missed {
+			w.drop(r, fn)
+			r.loadFailed(fn)
+			break
+		}
+		if w.errors += (1 - w.errors) / 4; w.errors > errorsIll {
+			w.sicken(r, "errors", w.errors)
+		}
+	case Full:
+		w.heard = r.now
+		w.fullUntil = r.now + Time(p.m.work)*2
+		if in != nil && in.loading && in.active == 0 {
+			w.drop(r, fn)
+		}
+	case ConnectFailed, Reset:
+		w.restart(r.now)
+		r.recount()
+		w.sicken(r, "broken connections", float64(w.active))
+	case TimedOut, CalledOff:
+		if in != nil && in.loading && in.active == 0 {
+			w.drop(r, fn)
+			fn.loadNext = max(fn.loadNext, r.now+fn.backoff) // timed-out loads only back off
+		}
+	}
+}
+
+// loaded ends a load, or renews the belief in a warm instance.
+func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
+	if in.loading {
+		in.loading, in.since = false, r.now
+		r.pending--
+	}
+	if !cold {
+		return
+	}
+	fn.errors, fn.backoff = 0, loadBackMin
+	if fn.halted {
+		fn.halted = false
+		r.port.Log(fmt.Sprintf("function %d loads again", fn.id))
+	}
+	// the store is shared: loads that take far longer than usual mean fewer at once, everywhere
+	if took > 2.5*fn.load {
+		r.room = max(2, r.room*0.8)
+	} else {
+		r.room = min(r.room+0.5, 2*float64(len(r.list)))
+	}
+	fn.load += (min(took, 3*fn.load) - fn.load) / 4
+}
+
+// loadFailed counts a load error; the third in a row halts loads of the function.
+func (r *Router) loadFailed(fn *function) {
+	r.room = max(2, r.room*0.8)
+	if fn.errors++; fn.errors < loadErrors {
+		return
+	}
+	if fn.halted {
+		fn.backoff = min(2*fn.backoff, loadBackMax)
+	} else {
+		fn.halted = true
+		r.port.Log(fmt.Sprintf("function %d halted: %d load errors", fn.id, fn.errors))
+	}
+	fn.loadNext = r.now + fn.backoff
+}
+
+func (w *worker) drop(r *Router, fn *function) {
+	if in := w.holds[fn.id]; in != nil {
+		if in.loading {
+			r.pending--
+		}
+		delete(w.holds, fn.id)
+	}
+}
+
+// serve counts work done by warm workers, by kind: the measure of what a cold one may be sent.
+func (r *Router) serve(w *worker, cost float64) {
+	if !r.cold(w) {
+		r.served[w.kind] += cost / float64(5*sec)
+	}
+}
+
+func (w *worker) report(r *Router, values []float64) {
+	get := func(name string, old float64) float64 {
+		if at := int(r.set.num("report.values."+name, -1)); at >= 0 && at < len(values) {
+			return values[at]
+		}
+		return old
+	}
+	w.util, w.pinned, w.loads = get("util", w.util), get("pinned", w.pinned), get("loads", w.loads)
+}
+
+// sicken takes a worker off the ordinary path for a doubling pause; then a check, then one RPC, tries it.
+func (w *worker) sicken(r *Router, symptom string, figure float64) {
+	if w.ill == "" {
+		r.port.Log(fmt.Sprintf("worker %d ill: %s %.2f, %d out", w.id, symptom, figure, w.active))
+	}
+	w.ill, w.trial = symptom, false
+	w.illBack = min(max(2*w.illBack, illBackMin), illBackMax)
+	w.illUntil = r.now + w.illBack
+}
+
+// Held answers a load order.
+func (r *Router) Held(now Time, id WorkerID, fid FunctionID, o Outcome, copies int, took Time) {
+	r.now, r.dirty = now, true
+	w, fn := r.workers[id], r.fns[fid]
+	if w == nil || fn == nil {
+		return
+	}
+	in := w.holds[fid]
+	if in == nil {
+		return
+	}
+	switch {
+	case o == OK || copies > 0:
+		in.copies, in.lastUse, in.ordered = max(copies, 1), now, false
+		w.heard = now
+		r.loaded(fn, in, in.loading, float64(took))
+	case o == Errored:
+		w.drop(r, fn)
+		r.loadFailed(fn)
+	case o == Full:
+		w.fullUntil = now + sec/4
+		w.drop(r, fn)
+	default:
+		w.drop(r, fn)
+		fn.loadNext = max(fn.loadNext, now+fn.backoff)
+	}
+}
+
+// Checked answers a check: one that passed lets an RPC try the worker.
+func (r *Router) Checked(now Time, id WorkerID, o Outcome, _ Time, report []float64) {
+	r.now, r.dirty = now, true
+	w := r.workers[id]
+	if w == nil {
+		return
+	}
+	w.checking = false
+	if o == OK {
+		w.report(r, report)
+		w.trial = w.ill != ""
+	} else if w.ill != "" {
+		w.sicken(r, w.ill, 0)
+	}
+}
+
+// Reminded is the heartbeat.
+func (r *Router) Reminded(now Time, _ uint64) {
+	r.now, r.dirty = now, true
+	r.port.Remind(beat, 0)
+	fade := math.Exp(-float64(now-r.servedAt) / float64(5*sec))
+	r.servedAt = now
+	for kind := range r.served {
+		r.served[kind] *= fade
+	}
+	r.watchSilence()
+	ill, ready := 0, 0
+	for _, w := range r.list {
+		if w.state != Ready {
+			continue
+		}
+		ready++
+		if w.ill == "" {
+			continue
+		}
+		ill++
+		if now < w.illUntil || w.trial || w.checking {
+			continue
+		}
+		if r.set.is("may.check") {
+			w.checking = true
+			r.port.Check(w.id)
+		} else {
+			w.trial = true
+		}
+	}
+	// if most look ill, the cause is elsewhere
+	if all := 2*ill > ready; all != r.allIll {
+		r.allIll = all
+		r.port.Log(fmt.Sprintf("%d of %d workers look ill, health ignored: %t", ill, ready, all))
+	}
+	for _, p := range slices.Clone(r.held) {
+		if now >= p.leaveAt() {
+			p.giveUp()
+		}
+	}
+}
+
+// watchSilence guards against workers that take RPCs and answer none, whatever the cause: one whose answer is
+// long overdue, with nothing heard from it since, is ill, and RPCs that may be repeated leave it.
+func (r *Router) watchSilence() {
+	for _, p := range slices.Clone(r.out) {
+		c := &p.calls[len(p.calls)-1]
+		due := silentWorks*p.fn.work + float64(2*beat)
+		if in := c.w.holds[p.fn.id]; c.cold || in != nil && in.loading {
+			due += 2.5 * p.fn.load
+		}
+		if c.done || c.retracted || c.w.heard > c.at || float64(r.now-c.at) < due {
+			continue
+		}
+		if c.w.ill == "" {
+			c.w.sicken(r, "silence", float64(r.now-c.at)/float64(ms))
+		}
+		if r.set.is("may.retract") && !p.ended && p.m.effect != SideEffecting && r.now < p.leaveAt() &&
+			len(p.calls) < int(r.set.num("may.call-outs", 1)) {
+			c.retracted = true
+			r.port.Retract(p.id, len(p.calls)-1)
+		}
+	}
+}
+
+// leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up.
+func (p *RPC) leaveAt() Time { return p.end - max(Time(p.fn.work), 2*beat) }
+
+// Settle sends what the moment's events made room for: higher gain first, then first come.
+func (r *Router) Settle(now Time) {
+	r.now = now
+	if !r.dirty || len(r.held) == 0 {
+		r.dirty = false
+		return
+	}
+	r.dirty = false
+	queue := slices.Clone(r.held)
+	slices.SortStableFunc(queue, func(a, b *RPC) int {
+		switch {
+		case a.gain > b.gain:
+			return -1
+		case a.gain < b.gain:
+			return 1
+		}
+		return int(a.at - b.at)
+	})
+	stuck := map[*function]bool{}
+	for _, p := range queue {
+		if p.queued && !stuck[p.fn] && !p.place() {
+			stuck[p.fn] = true
+		}
+	}
+}
