--- a/router/router.go
+++ b/router/router.go
@@ -577,6 +577,10 @@
 	if p.queued || p.ended {
 		return
 	}
+	if r.now >= p.leaveAt() { // a client's last try may come with almost no time left
+		p.giveUp()
+		return
+	}
 	p.queued = true
 	p.fn.held++
 	r.held = append(r.held, p)
@@ -585,7 +589,7 @@
 	}
 	least := p
 	for _, q := range r.held {
-		if q.fn == p.fn && q.gain < least.gain {
+		if q.fn == p.fn && q.worth() < least.worth() {
 			least = q
 		}
 	}
@@ -717,8 +721,10 @@
 	case Errored, Missed:
 		w.heard = r.now
 		if warmth == LoadFailed || o == Missed {
+			if in != nil && in.loading { // RPCs that joined the load tell of one failure, not of many
+				r.loadFailed(fn)
+			}
 			w.drop(r, fn)
-			r.loadFailed(fn)
 			break
 		}
 		if w.errors += (1 - w.errors) / 4; w.errors > errorsIll {
@@ -928,6 +934,14 @@
 // leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up.
 func (p *RPC) leaveAt() Time { return p.end - max(Time(p.fn.work), 2*beat) }
 
+// worth is what an answer would earn now: past the soft deadline little, beyond the customer's share little.
+func (p *RPC) worth() float64 {
+	if p.r.now+Time(p.fn.work) > p.at+p.m.soft {
+		return p.gain * p.m.lateShare
+	}
+	return p.gain
+}
+
 // Settle sends what the moment's events made room for: higher gain first, then first come.
 func (r *Router) Settle(now Time) {
 	r.now = now
@@ -939,9 +953,9 @@
 	queue := slices.Clone(r.held)
 	slices.SortStableFunc(queue, func(a, b *RPC) int {
 		switch {
-		case a.gain > b.gain:
+		case a.worth() > b.worth():
 			return -1
-		case a.gain < b.gain:
+		case a.worth() < b.worth():
 			return 1
 		}
 		return int(a.at - b.at)
