--- a/router/router.go
+++ b/router/router.go
@@ -326,14 +326,18 @@
 		return false
 	}
 	var best, joining *worker
-	count := 0
+	count, roomy := 0, false
 	for _, w := range r.list {
 		in := w.holds[p.fn.id]
 		if in == nil || !r.live(w, in) {
 			continue
 		}
 		count += in.copies
-		if !p.mayUse(w) || !in.hasRoom(p.fn) {
+		if !in.hasRoom(p.fn) {
+			continue
+		}
+		roomy = roomy || w.ill == "" && w.state == Ready
+		if !p.mayUse(w) {
 			continue
 		}
 		if in.loading {
@@ -352,7 +356,8 @@
 		p.send(joining)
 		return true
 	}
-	return p.load(count)
+	// Exception: where lanes are free but their worker is at its limit another copy would not help.
+	return !roomy && p.load(count)
 }
 
 // before is the design's order of ties among warm instances.
@@ -732,7 +737,8 @@
 		}
 	case Full:
 		w.heard = r.now
-		w.fullUntil = r.now + Time(p.m.work)*2
+		w.fullUntil = r.now + Time(p.m.work)/2
+		w.limit = max(1, min(w.limit*0.9, float64(w.active)))
 		if in != nil && in.loading && in.active == 0 {
 			w.drop(r, fn)
 		}
