--- a/router/router.go
+++ b/router/router.go
@@ -36,6 +36,7 @@
 	errorsIll    = 0.5 // smoothed share of errors above which a worker is ill
 	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
+	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
 	needFade     = 3 * sec
 	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
 )
@@ -61,79 +62,68 @@
 	room      float64 // loads that may be pending at once: the total cap, learned from the store
 	pending   int
 	allIll    bool
+	zone      ZoneID
+	born      Time
+	near      bool
+	seen      float64 // memory of one copy of each function seen
 	dirty     bool
 	whole     bool
 }
 
 type method struct {
 	gain, lateShare float64
-	soft, deadline  Time
+	soft, window    Time
 	effect, group   string
-	window          Time
-	work            float64 // mean time on a warm instance
-	cost            float64 // mean work told by hints, else work
+	work, cost      float64 // mean time on a warm instance; mean of the hints' core time, 0 without hints
 }
 
 type customer struct {
-	quota, tokens float64
+	quota, tokens float64 // this front end's part of the share, per unit of time; what is left of it
 	at            Time
 }
 
 type function struct {
-	id       FunctionID
-	memory   float64
-	lanes    int
-	load     float64 // usual time of a load
-	work     float64 // usual time on a warm instance
-	active   int     // RPCs out
-	held     int
-	need     float64 // recent peak of RPCs out and held
-	needAt   Time
-	errors   int // load errors in a row
-	backoff  Time
-	loadNext Time // no load before
-	halted   bool
+	id         FunctionID
+	memory     float64
+	lanes      int
+	load, work float64 // usual time of a load, and on a warm instance
+	out, held  int     // RPCs out and held
+	need       float64 // recent peak of their sum
+	needAt     Time
+	errors     int // load errors in a row
+	halted     bool
+	backoff    Time
+	loadNext   Time // no load before
 }
 
 // instance is what is believed of one function's copies on one worker.
 type instance struct {
-	copies   int
-	loading  bool
-	ordered  bool // the load under way is an order's
-	since    Time // when the load began, then when it was first warm
-	active   int
-	executed int
-	lastUse  Time
-	others   float64 // RPCs of other front ends there, as answers tell
+	copies           int
+	loading, ordered bool // a load is under way; it is an order's, no RPC rides on it
+	since, lastUse   Time // when the load began or ended; when it was last used
+	active, executed int
+	others           float64 // RPCs of other front ends there, as answers tell
 }
 
 // worker is the one record of a worker.
 type worker struct {
-	id        WorkerID
-	state     Readiness
-	zone      ZoneID
-	cell      CellID
-	kind      KindID
-	size      float64
-	started   Time
-	known     bool // started is a real start, within this front end's memory
-	listed    bool
-	holds     map[FunctionID]*instance
-	active    int
-	limit     float64 // RPCs of ours there at once
-	heard     Time    // last answer
-	errors    float64
-	slow      float64
-	ill       string // symptom, or ""
-	illUntil  Time
-	illBack   Time
-	checking  bool
-	trial     bool
-	fullUntil Time
-	sent      []sending // while cold
-	util      float64
-	pinned    float64
-	loads     float64
+	id                WorkerID
+	state             Readiness
+	zone              ZoneID
+	cell              CellID
+	kind              KindID
+	started           Time
+	known, listed     bool // started is a real start, not "long ago"; the list now coming names it
+	holds             map[FunctionID]*instance
+	active            int
+	limit             float64 // RPCs of ours there at once
+	heard, fullUntil  Time    // last answer; no call-out before
+	errors, slow      float64 // smoothed share of errors; smoothed time over the function's usual time
+	ill               string  // symptom, or ""
+	illUntil, illBack Time
+	checking, trial   bool      // a check is out; the next RPC may try it
+	sent              []sending // while cold
+	util, pinned      float64   // as last reported
 }
 
 type sending struct {
@@ -142,30 +132,25 @@
 }
 
 type callOut struct {
-	w         *worker
-	at        Time
-	done      bool
-	retracted bool
-	cold      bool // it began or joined a load
+	w                     *worker
+	at                    Time
+	done, retracted, cold bool // cold: it began or joined a load
 }
 
 // RPC is the handle of one RPC.
 type RPC struct {
-	r        *Router
-	id       RPCID
-	m        *method
-	fn       *function
-	gain     float64
-	at, end  Time
-	calls    []callOut
-	out      int
-	queued   bool
-	ended    bool
-	flowing  bool
-	risk     *worker // worker of the first call-out that may have run
-	riskAt   Time
-	mayHave  bool // a call-out that is over may have run
-	lastLoad Time
+	r             *Router
+	id            RPCID
+	m             *method
+	fn            *function
+	gain          float64
+	at, end       Time
+	calls         []callOut
+	out           int
+	queued, ended bool
+	risk          *worker // worker of the first call-out that may have run
+	riskAt        Time
+	mayHave       bool // a call-out that is over may have run
 }
 
 func (s Settings) num(name string, or float64) float64 {
@@ -185,11 +170,11 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
 		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, served: map[KindID]float64{},
-		servedAt: now}
+		servedAt: now, zone: ZoneID(s.num("zone", 0)), born: now}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
-			soft: s.span(at+"soft-deadline", sec), deadline: s.span(at+"deadline", 3*sec),
+			soft:   s.span(at+"soft-deadline", sec),
 			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
 			work: float64(priorWork)})
 	}
@@ -220,7 +205,7 @@
 
 // Listed is one entry of the list.
 func (r *Router) Listed(now Time, id WorkerID, state Readiness, started Time, zone ZoneID, cell CellID,
-	kind KindID, size float64) {
+	kind KindID, _ float64) {
 	w := r.workers[id]
 	if w == nil {
 		w = &worker{id: id, started: started, known: started > 0, limit: startingRoom, slow: 1,
@@ -234,7 +219,7 @@
 		w.restart(started)
 		w.ill, w.trial = "", false
 	}
-	w.listed, w.zone, w.cell, w.kind, w.size = true, zone, cell, kind, size
+	w.listed, w.zone, w.cell, w.kind = true, zone, cell, kind
 	if state != Ready && w.state == Ready {
 		w.holds = map[FunctionID]*instance{}
 	}
@@ -285,6 +270,7 @@
 			fn.load = float64(load)
 		}
 		r.fns[fid] = fn
+		r.seen += memory
 	}
 	fn.memory, fn.lanes = memory, max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, end: now + budget, gain: r.methods[m].gain}
@@ -298,7 +284,7 @@
 	if !p.place() {
 		p.hold()
 	}
-	fn.need = max(fn.recent(now), float64(fn.active+fn.held))
+	fn.need = max(fn.recent(now), float64(fn.out+fn.held))
 	fn.needAt = now
 	return p
 }
@@ -344,11 +330,17 @@
 			if !in.ordered && (joining == nil || in.before(joining.holds[p.fn.id], r.rng)) {
 				joining = w
 			}
-		} else if best == nil || in.before(best.holds[p.fn.id], r.rng) {
+		} else if best == nil || r.far(w) != r.far(best) && r.far(best) || r.far(w) == r.far(best) &&
+			in.before(best.holds[p.fn.id], r.rng) {
 			best = w
 		}
 	}
 	if best != nil {
+		if r.far(best) && r.set.is("functions.orders") && count < fnCap && r.now >= p.fn.loadNext {
+			if w := p.loadTarget(); w != nil && !r.far(w) && r.mayOrder() {
+				p.order(w)
+			}
+		}
 		p.send(best)
 		return true
 	}
@@ -360,6 +352,27 @@
 	return !roomy && p.load(count)
 }
 
+func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
+
+// order has a copy loaded that no RPC rides on.
+func (p *RPC) order(w *worker) {
+	p.begin(w).ordered = true
+	p.r.orders = append(p.r.orders, p.r.now)
+	p.r.port.Hold(w.id, p.fn.id, 1)
+}
+
+// begin notes a load under way.
+func (p *RPC) begin(w *worker) *instance {
+	in := w.holds[p.fn.id]
+	if in == nil {
+		in = &instance{}
+		w.holds[p.fn.id] = in
+	}
+	in.copies, in.loading, in.ordered, in.since, in.lastUse = max(in.copies, 1), true, false, p.r.now, p.r.now
+	p.r.pending++
+	return in
+}
+
 // before is the design's order of ties among warm instances.
 func (in *instance) before(other *instance, rng *rand.Rand) bool {
 	switch {
@@ -389,7 +402,7 @@
 // ordered and the RPC waits for whichever comes first; else it goes to the loading worker at once.
 func (p *RPC) load(count int) bool {
 	r, fn := p.r, p.fn
-	need := max(fn.recent(r.now), float64(fn.active+1))
+	need := max(fn.recent(r.now), float64(fn.out+1))
 	limit := min(math.Ceil(need/float64(fn.lanes)), max(fnCap, need))
 	// Exception: an RPC held for as long as a load takes lifts the cap to the design's own figure.
 	if p.queued && float64(r.now-p.at) > fn.load {
@@ -405,20 +418,11 @@
 	if fn.halted {
 		fn.loadNext = r.now + fn.backoff // one trial load
 	}
-	in := w.holds[fn.id]
-	if in == nil {
-		in = &instance{}
-		w.holds[fn.id] = in
-	}
-	in.copies, in.loading, in.since, in.lastUse = max(in.copies, 1), true, r.now, r.now
-	r.pending++
 	if count > 0 && r.set.is("functions.orders") && r.mayOrder() {
-		in.ordered = true
-		r.orders = append(r.orders, r.now)
-		r.port.Hold(w.id, fn.id, 1)
+		p.order(w)
 		return false
 	}
-	in.ordered = false
+	p.begin(w)
 	p.send(w)
 	return true
 }
@@ -456,7 +460,11 @@
 		if w.util > 0.95 || w.pinned > 0.9 || float64(w.active) > 1.5*mean+1 {
 			continue
 		}
-		if rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15 ^ uint64(w.id)); best == nil || rank > bestRank {
+		rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
+		if r.near && w.zone == r.zone {
+			rank |= 1 << 63
+		}
+		if best == nil || rank > bestRank {
 			best, bestRank = w, rank
 		}
 	}
@@ -561,7 +569,7 @@
 	in.active++
 	in.lastUse = r.now
 	w.active++
-	p.fn.active++
+	p.fn.out++
 	w.trial = false
 	p.calls = append(p.calls, callOut{w: w, at: r.now, cold: in.loading})
 	if p.out++; p.out == 1 {
@@ -633,7 +641,7 @@
 }
 
 // Flowing tells that the answer has begun to stream.
-func (p *RPC) Flowing(now Time) { p.r.now, p.flowing = now, true }
+func (p *RPC) Flowing(now Time) { p.r.now = now }
 
 // Left tells that the client is gone: no answer is owed.
 func (p *RPC) Left(now Time) {
@@ -658,7 +666,7 @@
 	c.done = true
 	w, in := c.w, c.w.holds[p.fn.id]
 	w.active--
-	p.fn.active--
+	p.fn.out--
 	if p.out--; p.out == 0 {
 		r.out = slices.DeleteFunc(r.out, func(q *RPC) bool { return q == p })
 	}
@@ -815,7 +823,7 @@
 		}
 		return old
 	}
-	w.util, w.pinned, w.loads = get("util", w.util), get("pinned", w.pinned), get("loads", w.loads)
+	w.util, w.pinned = get("util", w.util), get("pinned", w.pinned)
 }
 
 // sicken takes a worker off the ordinary path for a doubling pause; then a check, then one RPC, tries it.
@@ -882,6 +890,7 @@
 		r.served[kind] *= fade
 	}
 	r.watchSilence()
+	r.weighZone()
 	ill, ready := 0, 0
 	for _, w := range r.list {
 		if w.state != Ready {
@@ -914,6 +923,22 @@
 	}
 }
 
+// weighZone: where crossing zones has a price, and this zone's memory holds all functions seen with room to
+// spare, loads stay in the zone and its instances come first (an exception to one home for all front ends).
+func (r *Router) weighZone() {
+	room := 0.0
+	for _, w := range r.list {
+		if w.state == Ready && w.zone == r.zone {
+			room += r.set.num("functions.memory."+strconv.Itoa(int(w.kind)), 0)
+		}
+	}
+	near := r.set.num("price.cross-zone", 0) > 0 && r.now > r.born+needFade && room > zoneSpare*r.seen
+	if near != r.near {
+		r.near = near
+		r.port.Log(fmt.Sprintf("loads stay in the zone: %t, its memory %.0f MB, functions %.0f MB", near, room, r.seen))
+	}
+}
+
 // watchSilence guards against workers that take RPCs and answer none, whatever the cause: one whose answer is
 // long overdue, with nothing heard from it since, is ill, and RPCs that may be repeated leave it.
 func (r *Router) watchSilence() {
