--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -206,10 +206,7 @@
 			in.router.Held(h.now, router.WorkerID(w), router.FunctionID(fn), o, int(n), span(delay))
 		}
 	case 50:
-		id, _, _, _ := r.u32(), r.u32(), r.u64(), r.u8()
-		if rpc := in.rpc(id); rpc != nil && r.err == nil {
-			rpc.Flowing(h.now)
-		}
+		r.take(4 + 4 + 8 + 1) // streams are no kind of method here
 	case 60:
 		o, delay, w := r.outcome(), r.u64(), r.u32()
 		report := r.report()
--- a/router/router.go
+++ b/router/router.go
@@ -37,6 +37,8 @@
 	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
+	limitSoft    = 5   // part of the soft deadline within which warm answers let a worker's limit grow
+	crowdFade    = sec
 	needFade     = 3 * sec
 	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
 )
@@ -101,6 +103,7 @@
 	copies           int
 	loading, ordered bool // a load is under way; it is an order's, no RPC rides on it
 	since, lastUse   Time // when the load began or ended; when it was last used
+	toldAt           Time // when others was last told
 	active, executed int
 	others           float64 // RPCs of other front ends there, as answers tell
 }
@@ -319,7 +322,7 @@
 			continue
 		}
 		count += in.copies
-		if !in.hasRoom(p.fn) {
+		if !in.hasRoom(p.fn, r.now) {
 			continue
 		}
 		roomy = roomy || w.ill == "" && w.state == Ready
@@ -348,7 +351,7 @@
 		p.send(joining)
 		return true
 	}
-	// Exception: where lanes are free but their worker is at its limit another copy would not help.
+	// Exception: lanes stand free at a worker at its limit; another copy would not help.
 	return !roomy && p.load(count)
 }
 
@@ -389,8 +392,13 @@
 }
 
 // hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
-func (in *instance) hasRoom(fn *function) bool {
-	return in.active < in.copies*fn.lanes && float64(in.active)+in.others < float64(in.copies*fn.lanes)
+func (in *instance) hasRoom(fn *function, now Time) bool {
+	return float64(in.active)+math.Round(in.crowd(now)) < float64(in.copies*fn.lanes)
+}
+
+// crowd is what is left of the last news of other front ends' RPCs there.
+func (in *instance) crowd(now Time) float64 {
+	return in.others * math.Exp(-float64(now-in.toldAt)/float64(crowdFade))
 }
 
 // live drops an instance that has idled past the least keep-alive.
@@ -640,9 +648,6 @@
 	return min(p.r.set.span("may.come-back", 0), max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2))
 }
 
-// Flowing tells that the answer has begun to stream.
-func (p *RPC) Flowing(now Time) { p.r.now = now }
-
 // Left tells that the client is gone: no answer is owed.
 func (p *RPC) Left(now Time) {
 	p.r.now, p.r.dirty = now, true
@@ -713,13 +718,15 @@
 		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
 		in.executed++
 		in.lastUse = r.now
+		in.others = in.crowd(r.now)
 		in.others += (max(0, float64(crowd-in.active)) - in.others) / 4
+		in.toldAt = r.now
 		if !cold {
 			ratio := float64(took) / fn.work
 			w.slow += (min(ratio, 10) - w.slow) / 8
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
-			if took > p.m.soft/2 {
+			if took > p.m.soft/limitSoft {
 				w.limit = max(1, w.limit*0.9)
 			} else if float64(w.active+2) > w.limit {
 				w.limit += 1 / w.limit
