--- a/router/router.go
+++ b/router/router.go
@@ -1,10 +1,10 @@
 // The decision module of mallowlanding: every decision, table and tuned value is in this file.
 //
 // How it is called: New makes one Router for each front end. Take hands it an RPC and returns the RPC's
-// handle; what happens to that RPC later is a method call on the handle (Ended, Left, Flowing). The list of
-// workers comes as ListBegins, Listed..., ListEnds; orders and checks are answered by Held and Checked, timers
-// by Reminded. After the events of one moment the caller calls Settle once. The module acts through Port.
-// Port, the ids and the words for outcomes and effects are in port.go. Nothing here reads a clock, does I/O or
+// handle; what happens to that RPC later is a method call on the handle (Ended, Left). The list of workers
+// comes as ListBegins, Listed..., ListEnds; orders and checks are answered by Held and Checked, timers by
+// Reminded. After the events of one moment the caller calls Settle once. The module acts through Port. Port,
+// the ids and the words for outcomes and effects are in port.go. Nothing here reads a clock, does I/O or
 // starts a goroutine; the same events lead to the same actions.
 //
 // The ordinary path (docs/design.md) is RPC.place: a warm instance with room, else a load under the caps,
@@ -12,6 +12,7 @@
 package router
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -37,8 +38,9 @@
 	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
-	limitSoft    = 5   // part of the soft deadline within which warm answers let a worker's limit grow
+	limitSoft    = 8   // part of the soft deadline within which warm answers let a worker's limit grow
 	crowdFade    = sec
+	keepBusy     = 3 // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec
 	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
 )
@@ -214,9 +216,8 @@
 		w = &worker{id: id, started: started, known: started > 0, limit: startingRoom, slow: 1,
 			holds: map[FunctionID]*instance{}}
 		r.workers[id] = w
-		at, _ := slices.BinarySearchFunc(r.list, id, func(w *worker, id WorkerID) int {
-			return int(int64(w.id) - int64(id))
-		})
+		byID := func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) }
+		at, _ := slices.BinarySearchFunc(r.list, id, byID)
 		r.list = slices.Insert(r.list, at, w)
 	} else if started > w.started {
 		w.restart(started)
@@ -283,7 +284,9 @@
 	if int(c) < len(r.customers) && !r.customers[c].within(now) {
 		p.gain *= r.set.num("over-share-gain", 1)
 	}
-	r.taken = append(r.taken, now)
+	if r.set.span("functions.load-window", 0) > 0 {
+		r.taken = append(r.taken, now)
+	}
 	if !p.place() {
 		p.hold()
 	}
@@ -378,17 +381,9 @@
 
 // before is the design's order of ties among warm instances.
 func (in *instance) before(other *instance, rng *rand.Rand) bool {
-	switch {
-	case in.active != other.active:
-		return in.active < other.active
-	case in.executed != other.executed:
-		return in.executed < other.executed
-	case in.lastUse != other.lastUse:
-		return in.lastUse < other.lastUse
-	case in.since != other.since:
-		return in.since < other.since
-	}
-	return rng.Intn(2) == 0
+	c := cmp.Or(in.active-other.active, in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse),
+		cmp.Compare(in.since, other.since))
+	return c < 0 || c == 0 && rng.Intn(2) == 0
 }
 
 // hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
@@ -441,15 +436,14 @@
 	if window == 0 {
 		return true
 	}
-	early := func(t Time) bool { return t < r.now-window-ms }
-	r.orders = slices.DeleteFunc(r.orders, early)
+	r.orders = slices.DeleteFunc(r.orders, func(t Time) bool { return t < r.now-window-ms })
 	r.taken = slices.DeleteFunc(r.taken, func(t Time) bool { return t <= r.now-window+ms })
 	ration := r.set.num("functions.load-free", 0) + r.set.num("functions.load-share", 0)*float64(len(r.taken))
 	return float64(len(r.orders)+1) <= ration
 }
 
-// loadTarget is the worker for a new load: a rendezvous hash of function and worker lets front ends that share
-// nothing agree on it; one that is busy or full is passed over. If none is left, the least busy by own count.
+// loadTarget is the worker for a new load: a rendezvous hash of function and worker lets front ends that
+// share nothing agree on it; one that is busy or full is passed over. If none is left, the least busy.
 func (p *RPC) loadTarget() *worker {
 	r := p.r
 	var best, idle *worker
@@ -531,9 +525,9 @@
 	return false
 }
 
-// coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker must
-// stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm workers
-// of its kind were seen to do for us; as each front end sees its own share, the shares add up by themselves.
+// coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker
+// must stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm
+// workers of its kind were seen to do for us; each front end sees its own share, so the shares add up.
 func (r *Router) coldRoom(w *worker, m *method) bool {
 	if !r.cold(w) {
 		return true
@@ -551,7 +545,7 @@
 			warm++
 		}
 	}
-	budget := r.set.num("rules.fall-multiple", 1) * share * r.served[w.kind] / float64(max(warm, 1)) * float64(window)
+	budget := r.set.num("rules.fall-multiple", 1) * share * float64(window) * r.served[w.kind] / float64(max(warm, 1))
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
@@ -727,13 +721,13 @@
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
 			if took > p.m.soft/limitSoft {
-				w.limit = max(1, w.limit*0.9)
+				w.limit = max(r.leastLimit(), w.limit*0.9)
 			} else if float64(w.active+2) > w.limit {
 				w.limit += 1 / w.limit
 			}
 		}
 		if w.ill != "" && w.slow <= slowIll && w.errors <= errorsIll {
-			r.port.Log(fmt.Sprintf("worker %d well again after %s: slow %.1f errors %.2f", w.id, w.ill, w.slow, w.errors))
+			r.port.Log(fmt.Sprintf("worker %d well after %s: slow %.1f errors %.2f", w.id, w.ill, w.slow, w.errors))
 			w.ill, w.illBack, w.trial = "", 0, false
 		} else if w.ill == "" && w.slow > slowIll {
 			w.sicken(r, "slowness", w.slow)
@@ -753,7 +747,7 @@
 	case Full:
 		w.heard = r.now
 		w.fullUntil = r.now + Time(p.m.work)/2
-		w.limit = max(1, min(w.limit*0.9, float64(w.active)))
+		w.limit = max(r.leastLimit(), min(w.limit*0.9, float64(w.active)))
 		if in != nil && in.loading && in.active == 0 {
 			w.drop(r, fn)
 		}
@@ -769,6 +763,8 @@
 	}
 }
 
+func (r *Router) leastLimit() float64 { return max(1, keepBusy/r.set.num("front-ends", 1)) }
+
 // loaded ends a load, or renews the belief in a warm instance.
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
 	if in.loading {
@@ -875,9 +871,6 @@
 func (r *Router) Checked(now Time, id WorkerID, o Outcome, _ Time, report []float64) {
 	r.now, r.dirty = now, true
 	w := r.workers[id]
-	if w == nil {
-		return
-	}
 	w.checking = false
 	if o == OK {
 		w.report(r, report)
@@ -942,7 +935,7 @@
 	near := r.set.num("price.cross-zone", 0) > 0 && r.now > r.born+needFade && room > zoneSpare*r.seen
 	if near != r.near {
 		r.near = near
-		r.port.Log(fmt.Sprintf("loads stay in the zone: %t, its memory %.0f MB, functions %.0f MB", near, room, r.seen))
+		r.port.Log(fmt.Sprintf("loads stay in the zone: %t, memory %.0f MB, functions %.0f MB", near, room, r.seen))
 	}
 }
 
@@ -983,20 +976,13 @@
 // Settle sends what the moment's events made room for: higher gain first, then first come.
 func (r *Router) Settle(now Time) {
 	r.now = now
-	if !r.dirty || len(r.held) == 0 {
-		r.dirty = false
+	if !r.dirty {
 		return
 	}
 	r.dirty = false
 	queue := slices.Clone(r.held)
 	slices.SortStableFunc(queue, func(a, b *RPC) int {
-		switch {
-		case a.worth() > b.worth():
-			return -1
-		case a.worth() < b.worth():
-			return 1
-		}
-		return int(a.at - b.at)
+		return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.at, b.at))
 	})
 	stuck := map[*function]bool{}
 	for _, p := range queue {
