--- a/router/router.go
+++ b/router/router.go
@@ -486,7 +486,7 @@
 // mayUse: the rules and the worker's health allow a call-out of this RPC there now.
 func (p *RPC) mayUse(w *worker) bool {
 	r := p.r
-	if w.state != Ready || r.now < w.fullUntil || float64(w.active) >= w.limit || !r.coldRoom(w, p.m) {
+	if w.state != Ready || r.now < w.fullUntil || float64(w.busy()) >= w.limit || !r.coldRoom(w, p.m) {
 		return false
 	}
 	if w.ill != "" && !r.allIll {
@@ -503,6 +503,19 @@
 	return p.mayRepeatAt(w)
 }
 
+// busy counts our RPCs there that do not wait for a load.
+func (w *worker) busy() int {
+	n := w.active
+	if float64(n) >= w.limit {
+		for _, in := range w.holds {
+			if in.loading {
+				n -= in.active
+			}
+		}
+	}
+	return n
+}
+
 // mayRepeatAt keeps rule two for a further call-out.
 func (p *RPC) mayRepeatAt(w *worker) bool {
 	if p.out > 0 {
@@ -545,7 +558,8 @@
 			warm++
 		}
 	}
-	budget := r.set.num("rules.fall-multiple", 1) * share * float64(window) * r.served[w.kind] / float64(max(warm, 1))
+	rate := share * r.served[w.kind] / float64(max(warm, 1))
+	budget := r.set.num("rules.fall-multiple", 1) * rate * float64(window)
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
