--- a/router/router.go
+++ b/router/router.go
@@ -40,7 +40,7 @@
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
 	limitSoft    = 8   // part of the soft deadline within which warm answers let a worker's limit grow
 	crowdFade    = sec
-	keepBusy     = 3 // RPCs of all front ends that a worker can always be given at once
+	keepBusy     = 5 // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec
 	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
 )
@@ -777,7 +777,7 @@
 	}
 }
 
-func (r *Router) leastLimit() float64 { return max(1, keepBusy/r.set.num("front-ends", 1)) }
+func (r *Router) leastLimit() float64 { return max(1, math.Floor(keepBusy/r.set.num("front-ends", 1))) }
 
 // loaded ends a load, or renews the belief in a warm instance.
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
