--- a/router/router.go
+++ b/router/router.go
@@ -958,9 +958,9 @@
 func (r *Router) watchSilence() {
 	for _, p := range slices.Clone(r.out) {
 		c := &p.calls[len(p.calls)-1]
-		due := silentWorks*p.fn.work + float64(2*beat)
-		if in := c.w.holds[p.fn.id]; c.cold || in != nil && in.loading {
-			due += 2.5 * p.fn.load
+		due := silentWorks*p.fn.work + p.fn.load // a belief may be wrong
+		if c.cold {
+			due += 2 * p.fn.load
 		}
 		if c.done || c.retracted || c.w.heard > c.at || float64(r.now-c.at) < due {
 			continue
