--- a/internal/pebble/settings.go
+++ b/internal/pebble/settings.go
@@ -13,7 +13,7 @@
 var words = map[string]string{
 	"balancers": "front-ends", "myNumber": "me", "zone": "zone", "tickNs": "tick",
 	"ceilings": "may", "cancel": "retract", "connectTimeoutNs": "connect-time-out", "mayProbe": "check",
-	"mostTries": "call-outs", "maxRetryAfterNs": "come-back", "retryAfter": "tell-come-back",
+	"mostTries": "call-outs", "maxRetryAfterNs": "come-back",
 	"secondCopies": "overlap", "maxOpen": "open", "peers": "tell",
 	"costs": "price", "crossZone": "cross-zone", "lateFail": "late", "origin": "fetch", "probe": "check",
 	"waste":     "waste",
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,7 @@
 
 	beat         = 20 * ms  // pace of housekeeping; the leave margins below are several beats
 	fnCap        = 5        // the design's cap of instances for a function, raised to recent in flight
+	totalCap     = 100      // the design's cap of all instances, where no memory is told
 	queueCap     = 100      // RPCs held for one function
 	loadErrors   = 3        // load errors in a row that halt a function (design)
 	loadBackMin  = sec      // first backoff of loads, doubling (design: 1 s)
@@ -42,36 +43,33 @@
 	crowdFade    = sec
 	keepBusy     = 5 // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec
+	listenAgain  = 1 // token of the timer that asks for the list again
 	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
 )
 
 // Router is the decision module of one front end.
 type Router struct {
-	port Port
-	rng  *rand.Rand
-	now  Time
-	set  Settings
-
-	methods   []*method
-	customers []*customer
-	workers   map[WorkerID]*worker
-	list      []*worker // by id
-	fns       map[FunctionID]*function
-	held      []*RPC // in order of arrival
-	out       []*RPC // with a call-out out
-	orders    []Time // load orders within the ration's window
-	taken     []Time // RPCs taken within it
-	served    map[KindID]float64
-	servedAt  Time
-	room      float64 // loads that may be pending at once: the total cap, learned from the store
-	pending   int
-	allIll    bool
-	zone      ZoneID
-	born      Time
-	near      bool
-	seen      float64 // memory of one copy of each function seen
-	dirty     bool
-	whole     bool
+	port             Port
+	rng              *rand.Rand
+	now, born        Time
+	set              Settings
+	zone             ZoneID
+	methods          []*method
+	customers        []*customer
+	workers          map[WorkerID]*worker
+	list             []*worker // by id
+	fns              map[FunctionID]*function
+	seen             float64 // memory of one copy of each function
+	held, out        []*RPC  // in order of arrival; with a call-out out
+	orders, taken    []Time  // load orders and RPCs taken within the ration's window
+	served           map[KindID]float64
+	servedAt         Time
+	pending, total   int     // loads under way; they and all instances
+	room, totalCap   float64 // the caps of both: learned from the store; what the workers' memory holds
+	slow             float64 // median slowness of the workers, 1 at least
+	near             bool    // loads stay in the zone
+	allIll           bool    // health is ignored
+	dirty, wholeList bool
 }
 
 type method struct {
@@ -138,6 +136,7 @@
 
 type callOut struct {
 	w                     *worker
+	in                    *instance
 	at                    Time
 	done, retracted, cold bool // cold: it began or joined a load
 }
@@ -175,7 +174,7 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
 		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, served: map[KindID]float64{},
-		servedAt: now, zone: ZoneID(s.num("zone", 0)), born: now}
+		servedAt: now, zone: ZoneID(s.num("zone", 0)), born: now, slow: 1}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
@@ -197,11 +196,11 @@
 // ListBegins, Listed and ListEnds bring the list of workers, or its changes.
 func (r *Router) ListBegins(now Time, form ListForm, _ uint64) {
 	r.now, r.dirty = now, true
-	r.whole = form == Whole || form == Cached
+	r.wholeList = form == Whole || form == Cached
 	if form == Failed {
-		r.port.Listen()
+		r.port.Remind(sec, listenAgain)
 	}
-	if r.whole {
+	if r.wholeList {
 		for _, w := range r.list {
 			w.listed = false
 		}
@@ -233,29 +232,44 @@
 // ListEnds closes the list: what a whole list leaves out is gone.
 func (r *Router) ListEnds(now Time) {
 	for _, w := range r.list {
-		if r.whole && !w.listed {
+		if r.wholeList && !w.listed {
 			w.state = Gone
 			w.holds = map[FunctionID]*instance{}
 		}
 	}
-	r.recount()
+	r.count()
 	if r.room == 0 {
 		r.room = 2 * float64(len(r.list)) / r.set.num("front-ends", 1)
 	}
 }
 
-// recount derives the count of pending loads anew after records were dropped.
-func (r *Router) recount() {
-	r.pending = 0
+// count drops instances that idled past the least keep-alive, and counts the rest and the loads under way.
+func (r *Router) count() {
+	r.pending, r.total, r.totalCap = 0, 0, 0
 	for _, w := range r.list {
-		for _, in := range w.holds {
+		for id, in := range w.holds {
 			if in.loading {
 				r.pending++
+			} else if in.active == 0 && r.now-in.lastUse >= r.set.span("functions.keep-alive", 10*sec) {
+				delete(w.holds, id)
+				continue
 			}
+			r.total += in.copies
 		}
+		if w.state == Ready {
+			r.totalCap += r.memory(w)
+		}
+	}
+	if r.totalCap *= float64(len(r.fns)) / max(r.seen, 1); r.totalCap == 0 {
+		r.totalCap = totalCap
 	}
 }
 
+// memory of a worker in MB, 0 where the settings don't tell.
+func (r *Router) memory(w *worker) float64 {
+	return r.set.num("functions.memory."+strconv.Itoa(int(w.kind)), 0)
+}
+
 // restart forgets what stood on a worker that began anew: it is empty and cold.
 func (w *worker) restart(at Time) {
 	w.started, w.known = at, true
@@ -285,7 +299,7 @@
 		p.gain *= r.set.num("over-share-gain", 1)
 	}
 	if r.set.span("functions.load-window", 0) > 0 {
-		r.taken = append(r.taken, now)
+		r.taken = append(r.within(r.taken, 0), now)
 	}
 	if !p.place() {
 		p.hold()
@@ -321,23 +335,22 @@
 	count, roomy := 0, false
 	for _, w := range r.list {
 		in := w.holds[p.fn.id]
-		if in == nil || !r.live(w, in) {
+		if in == nil || !p.allowed(w) {
 			continue
 		}
 		count += in.copies
 		if !in.hasRoom(p.fn, r.now) {
 			continue
 		}
-		roomy = roomy || w.ill == "" && w.state == Ready
-		if !p.mayUse(w) {
+		if roomy = true; !w.open(r.now) {
 			continue
 		}
 		if in.loading {
 			if !in.ordered && (joining == nil || in.before(joining.holds[p.fn.id], r.rng)) {
 				joining = w
 			}
-		} else if best == nil || r.far(w) != r.far(best) && r.far(best) || r.far(w) == r.far(best) &&
-			in.before(best.holds[p.fn.id], r.rng) {
+		} else if best == nil || r.far(best) && !r.far(w) ||
+			r.far(w) == r.far(best) && in.before(best.holds[p.fn.id], r.rng) {
 			best = w
 		}
 	}
@@ -350,7 +363,7 @@
 		p.send(best)
 		return true
 	}
-	if joining != nil {
+	if joining != nil { // exception: an RPC joins a load this front end began, within its lanes
 		p.send(joining)
 		return true
 	}
@@ -363,7 +376,9 @@
 // order has a copy loaded that no RPC rides on.
 func (p *RPC) order(w *worker) {
 	p.begin(w).ordered = true
-	p.r.orders = append(p.r.orders, p.r.now)
+	if p.r.set.span("functions.load-window", 0) > 0 {
+		p.r.orders = append(p.r.orders, p.r.now)
+	}
 	p.r.port.Hold(w.id, p.fn.id, 1)
 }
 
@@ -376,6 +391,7 @@
 	}
 	in.copies, in.loading, in.ordered, in.since, in.lastUse = max(in.copies, 1), true, false, p.r.now, p.r.now
 	p.r.pending++
+	p.r.total++
 	return in
 }
 
@@ -396,11 +412,6 @@
 	return in.others * math.Exp(-float64(now-in.toldAt)/float64(crowdFade))
 }
 
-// live drops an instance that has idled past the least keep-alive.
-func (r *Router) live(w *worker, in *instance) bool {
-	return in.loading || in.active > 0 || r.now-in.lastUse < r.set.span("functions.keep-alive", 10*sec)
-}
-
 // load starts a load under the caps. Where a warm instance stands busy and orders are allowed, the load is
 // ordered and the RPC waits for whichever comes first; else it goes to the loading worker at once.
 func (p *RPC) load(count int) bool {
@@ -411,7 +422,8 @@
 	if p.queued && float64(r.now-p.at) > fn.load {
 		limit = max(fnCap, need)
 	}
-	if float64(count) >= limit || float64(r.pending) >= r.room || r.now < fn.loadNext {
+	if float64(count) >= limit || float64(r.total+1) > r.totalCap || float64(r.pending) >= r.room ||
+		r.now < fn.loadNext {
 		return false
 	}
 	w := p.loadTarget()
@@ -432,28 +444,31 @@
 
 // mayOrder keeps rule five: orders within the window, this one included, under the ration.
 func (r *Router) mayOrder() bool {
-	window := r.set.span("functions.load-window", 0)
-	if window == 0 {
+	if r.set.span("functions.load-window", 0) == 0 {
 		return true
 	}
-	r.orders = slices.DeleteFunc(r.orders, func(t Time) bool { return t < r.now-window-ms })
-	r.taken = slices.DeleteFunc(r.taken, func(t Time) bool { return t <= r.now-window+ms })
+	r.orders, r.taken = r.within(r.orders, ms), r.within(r.taken, -ms)
 	ration := r.set.num("functions.load-free", 0) + r.set.num("functions.load-share", 0)*float64(len(r.taken))
 	return float64(len(r.orders)+1) <= ration
 }
 
+// within drops what lies before the ration's window, widened by slack: clocks are cut to whole units.
+func (r *Router) within(times []Time, slack Time) []Time {
+	from := r.now - r.set.span("functions.load-window", 0) - slack
+	return slices.DeleteFunc(times, func(t Time) bool { return t < from })
+}
+
 // loadTarget is the worker for a new load: a rendezvous hash of function and worker lets front ends that
 // share nothing agree on it; one that is busy or full is passed over. If none is left, the least busy.
 func (p *RPC) loadTarget() *worker {
 	r := p.r
 	var best, idle *worker
-	var bestRank uint64
-	mean := 0.0
+	bestRank, mean := uint64(0), 0.0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
 	}
 	for _, w := range r.list {
-		if !p.mayUse(w) || w.holds[p.fn.id] != nil && r.live(w, w.holds[p.fn.id]) {
+		if !p.allowed(w) || !w.open(r.now) || w.holds[p.fn.id] != nil {
 			continue
 		}
 		if idle == nil || w.active < idle.active || w.active == idle.active && r.rng.Intn(2) == 0 {
@@ -463,17 +478,14 @@
 			continue
 		}
 		rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
-		if r.near && w.zone == r.zone {
+		if !r.far(w) {
 			rank |= 1 << 63
 		}
 		if best == nil || rank > bestRank {
 			best, bestRank = w, rank
 		}
 	}
-	if best != nil {
-		return best
-	}
-	return idle
+	return cmp.Or(best, idle)
 }
 
 // mix is the finalizer of splitmix64.
@@ -483,17 +495,15 @@
 	return x ^ x>>31
 }
 
-// mayUse: the rules and the worker's health allow a call-out of this RPC there now.
-func (p *RPC) mayUse(w *worker) bool {
+// allowed: the rules and the worker's health allow a call-out of this RPC there now.
+func (p *RPC) allowed(w *worker) bool {
 	r := p.r
-	if w.state != Ready || r.now < w.fullUntil || float64(w.busy()) >= w.limit || !r.coldRoom(w, p.m) {
+	if w.state != Ready || !r.coldRoom(w, p.m) {
 		return false
 	}
-	if w.ill != "" && !r.allIll {
-		// a way back: one RPC that may be repeated tries a worker whose pause is over
-		if !w.trial || w.active > 0 || p.m.effect == SideEffecting {
-			return false
-		}
+	// a way back: one RPC that may be repeated tries a worker whose pause is over
+	if w.ill != "" && !r.allIll && (!w.trial || w.active > 0 || p.m.effect == SideEffecting) {
+		return false
 	}
 	for _, c := range p.calls {
 		if c.w == w && r.now-c.at < sec {
@@ -503,8 +513,8 @@
 	return p.mayRepeatAt(w)
 }
 
-// busy counts our RPCs there that do not wait for a load.
-func (w *worker) busy() int {
+// open: the worker is not at its limit, which RPCs that wait for a load don't count against.
+func (w *worker) open(now Time) bool {
 	n := w.active
 	if float64(n) >= w.limit {
 		for _, in := range w.holds {
@@ -513,29 +523,17 @@
 			}
 		}
 	}
-	return n
+	return now >= w.fullUntil && float64(n) < w.limit
 }
 
 // mayRepeatAt keeps rule two for a further call-out.
 func (p *RPC) mayRepeatAt(w *worker) bool {
-	if p.out > 0 {
-		return false
-	}
-	if p.risk == nil || p.m.effect == Idempotent {
-		return true
-	}
-	if p.m.effect != Tokened || p.r.now+2*beat > p.riskAt+p.m.window {
-		return false
-	}
-	switch p.m.group {
-	case "all":
-		return true
-	case "zone":
-		return w.zone == p.risk.zone
-	case "cell":
-		return w.cell == p.risk.cell
+	if p.out > 0 || p.risk == nil || p.m.effect == Idempotent {
+		return p.out == 0
 	}
-	return false
+	group := p.m.group == "all" || p.m.group == "zone" && w.zone == p.risk.zone ||
+		p.m.group == "cell" && w.cell == p.risk.cell
+	return p.m.effect == Tokened && group && p.r.now+2*beat <= p.riskAt+p.m.window
 }
 
 // coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker
@@ -587,7 +585,7 @@
 	w.active++
 	p.fn.out++
 	w.trial = false
-	p.calls = append(p.calls, callOut{w: w, at: r.now, cold: in.loading})
+	p.calls = append(p.calls, callOut{w: w, in: in, at: r.now, cold: in.loading})
 	if p.out++; p.out == 1 {
 		r.out = append(r.out, p)
 	}
@@ -603,9 +601,6 @@
 // hold queues the RPC; a full queue gives up its least gain, latest first.
 func (p *RPC) hold() {
 	r := p.r
-	if p.queued || p.ended {
-		return
-	}
 	if r.now >= p.leaveAt() { // a client's last try may come with almost no time left
 		p.giveUp()
 		return
@@ -635,9 +630,6 @@
 
 // giveUp answers at once: denied where a retry is harmless, else aborted.
 func (p *RPC) giveUp() {
-	if p.ended {
-		return
-	}
 	p.unhold()
 	p.ended = true
 	mayHave := p.mayHave || p.out > 0
@@ -648,11 +640,8 @@
 	}
 }
 
-// comeBack is the time for which the client should stay away.
+// comeBack is the time for which the client should stay away, as far as clients heed it.
 func (p *RPC) comeBack() Time {
-	if !p.r.set.is("may.tell-come-back") {
-		return 0
-	}
 	return min(p.r.set.span("may.come-back", 0), max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2))
 }
 
@@ -677,17 +666,14 @@
 	}
 	c := &p.calls[n]
 	c.done = true
-	w, in := c.w, c.w.holds[p.fn.id]
-	w.active--
+	c.w.active--
+	c.in.active--
 	p.fn.out--
 	if p.out--; p.out == 0 {
 		r.out = slices.DeleteFunc(r.out, func(q *RPC) bool { return q == p })
 	}
-	if in != nil && in.active > 0 {
-		in.active--
-	}
-	w.report(r, report)
-	p.judge(c, in, o, warmth, crowd, took)
+	c.w.report(r, report)
+	p.judge(c, o, warmth, crowd, took)
 	if o == OK || o == Errored || o == TimedOut || o == Reset || o == CalledOff {
 		p.mayHave = true
 	} else if !p.mayHave && p.out == 0 {
@@ -711,15 +697,14 @@
 }
 
 // judge learns from a call-out's end about the worker, the instance and the function.
-func (p *RPC) judge(c *callOut, in *instance, o Outcome, warmth Warmth, crowd int, took Time) {
-	r, w, fn := p.r, c.w, p.fn
+func (p *RPC) judge(c *callOut, o Outcome, warmth Warmth, crowd int, took Time) {
+	r, w, fn, in := p.r, c.w, p.fn, c.in
 	switch o {
 	case OK:
 		w.heard = r.now
 		w.errors -= w.errors / 4
 		r.serve(w, p.m.mean())
-		if in == nil {
-			in = &instance{copies: 1, since: r.now}
+		if w.holds[fn.id] == nil {
 			w.holds[fn.id] = in
 		}
 		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold
@@ -740,21 +725,22 @@
 				w.limit += 1 / w.limit
 			}
 		}
-		if w.ill != "" && w.slow <= slowIll && w.errors <= errorsIll {
+		if w.ill != "" && w.slow <= slowIll*r.slow && w.errors <= errorsIll {
 			r.port.Log(fmt.Sprintf("worker %d well after %s: slow %.1f errors %.2f", w.id, w.ill, w.slow, w.errors))
 			w.ill, w.illBack, w.trial = "", 0, false
-		} else if w.ill == "" && w.slow > slowIll {
+		} else if w.ill == "" && w.slow > slowIll*r.slow {
 			w.sicken(r, "slowness", w.slow)
 		}
 	case Errored, Missed:
 		w.heard = r.now
 		if warmth == LoadFailed || o == Missed {
-			if in != nil && in.loading { // RPCs that joined the load tell of one failure, not of many
+			if in.loading && w.holds[fn.id] == in { // RPCs that joined the load tell of one failure, not of many
 				r.loadFailed(fn)
 			}
-			w.drop(r, fn)
+			delete(w.holds, fn.id)
 			break
 		}
+		in.loading = false
 		if w.errors += (1 - w.errors) / 4; w.errors > errorsIll {
 			w.sicken(r, "errors", w.errors)
 		}
@@ -762,16 +748,15 @@
 		w.heard = r.now
 		w.fullUntil = r.now + Time(p.m.work)/2
 		w.limit = max(r.leastLimit(), min(w.limit*0.9, float64(w.active)))
-		if in != nil && in.loading && in.active == 0 {
-			w.drop(r, fn)
+		if in.loading && in.active == 0 {
+			delete(w.holds, fn.id)
 		}
 	case ConnectFailed, Reset:
 		w.restart(r.now)
-		r.recount()
 		w.sicken(r, "broken connections", float64(w.active))
-	case TimedOut, CalledOff:
-		if in != nil && in.loading && in.active == 0 {
-			w.drop(r, fn)
+	case TimedOut, CalledOff, Moot:
+		if in.loading && in.active == 0 {
+			delete(w.holds, fn.id)
 			fn.loadNext = max(fn.loadNext, r.now+fn.backoff) // timed-out loads only back off
 		}
 	}
@@ -783,7 +768,6 @@
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
 	if in.loading {
 		in.loading, in.since = false, r.now
-		r.pending--
 	}
 	if !cold {
 		return
@@ -808,22 +792,11 @@
 	if fn.errors++; fn.errors < loadErrors {
 		return
 	}
-	if fn.halted {
-		fn.backoff = min(2*fn.backoff, loadBackMax)
-	} else {
-		fn.halted = true
+	if !fn.halted {
 		r.port.Log(fmt.Sprintf("function %d halted: %d load errors", fn.id, fn.errors))
 	}
-	fn.loadNext = r.now + fn.backoff
-}
-
-func (w *worker) drop(r *Router, fn *function) {
-	if in := w.holds[fn.id]; in != nil {
-		if in.loading {
-			r.pending--
-		}
-		delete(w.holds, fn.id)
-	}
+	fn.halted, fn.loadNext = true, r.now+fn.backoff
+	fn.backoff = min(2*fn.backoff, loadBackMax)
 }
 
 // serve counts work done by warm workers, by kind: the measure of what a cold one may be sent.
@@ -857,9 +830,6 @@
 func (r *Router) Held(now Time, id WorkerID, fid FunctionID, o Outcome, copies int, took Time) {
 	r.now, r.dirty = now, true
 	w, fn := r.workers[id], r.fns[fid]
-	if w == nil || fn == nil {
-		return
-	}
 	in := w.holds[fid]
 	if in == nil {
 		return
@@ -870,13 +840,13 @@
 		w.heard = now
 		r.loaded(fn, in, in.loading, float64(took))
 	case o == Errored:
-		w.drop(r, fn)
+		delete(w.holds, fn.id)
 		r.loadFailed(fn)
 	case o == Full:
 		w.fullUntil = now + sec/4
-		w.drop(r, fn)
+		delete(w.holds, fn.id)
 	default:
-		w.drop(r, fn)
+		delete(w.holds, fn.id)
 		fn.loadNext = max(fn.loadNext, now+fn.backoff)
 	}
 }
@@ -895,27 +865,44 @@
 }
 
 // Reminded is the heartbeat.
-func (r *Router) Reminded(now Time, _ uint64) {
+func (r *Router) Reminded(now Time, token uint64) {
 	r.now, r.dirty = now, true
+	if token == listenAgain {
+		r.port.Listen()
+		return
+	}
 	r.port.Remind(beat, 0)
 	fade := math.Exp(-float64(now-r.servedAt) / float64(5*sec))
 	r.servedAt = now
 	for kind := range r.served {
 		r.served[kind] *= fade
 	}
+	r.count()
 	r.watchSilence()
 	r.weighZone()
+	r.tend()
+	for _, p := range slices.Clone(r.held) {
+		if now >= p.leaveAt() {
+			p.giveUp()
+		}
+	}
+}
+
+// tend leads ill workers back: a check, where allowed, then one RPC.
+func (r *Router) tend() {
 	ill, ready := 0, 0
+	var slows []float64
 	for _, w := range r.list {
 		if w.state != Ready {
 			continue
 		}
 		ready++
+		slows = append(slows, w.slow)
 		if w.ill == "" {
 			continue
 		}
 		ill++
-		if now < w.illUntil || w.trial || w.checking {
+		if r.now < w.illUntil || w.trial || w.checking {
 			continue
 		}
 		if r.set.is("may.check") {
@@ -925,16 +912,14 @@
 			w.trial = true
 		}
 	}
+	if slices.Sort(slows); ready > 0 {
+		r.slow = max(1, slows[ready/2])
+	}
 	// if most look ill, the cause is elsewhere
 	if all := 2*ill > ready; all != r.allIll {
 		r.allIll = all
 		r.port.Log(fmt.Sprintf("%d of %d workers look ill, health ignored: %t", ill, ready, all))
 	}
-	for _, p := range slices.Clone(r.held) {
-		if now >= p.leaveAt() {
-			p.giveUp()
-		}
-	}
 }
 
 // weighZone: where crossing zones has a price, and this zone's memory holds all functions seen with room to
@@ -943,7 +928,7 @@
 	room := 0.0
 	for _, w := range r.list {
 		if w.state == Ready && w.zone == r.zone {
-			room += r.set.num("functions.memory."+strconv.Itoa(int(w.kind)), 0)
+			room += r.memory(w)
 		}
 	}
 	near := r.set.num("price.cross-zone", 0) > 0 && r.now > r.born+needFade && room > zoneSpare*r.seen
@@ -964,8 +949,7 @@
 		}
 		if c.done || c.retracted || c.w.heard > c.at || float64(r.now-c.at) < due {
 			continue
-		}
-		if c.w.ill == "" {
+		} else if c.w.ill == "" {
 			c.w.sicken(r, "silence", float64(r.now-c.at)/float64(ms))
 		}
 		if r.set.is("may.retract") && !p.ended && p.m.effect != SideEffecting && r.now < p.leaveAt() &&
@@ -989,8 +973,7 @@
 
 // Settle sends what the moment's events made room for: higher gain first, then first come.
 func (r *Router) Settle(now Time) {
-	r.now = now
-	if !r.dirty {
+	if r.now = now; !r.dirty {
 		return
 	}
 	r.dirty = false
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,246 @@
+package router
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// A scenario is a text file of one step a line; '#' begins a comment.
+//
+//	set NAME VALUE            a setting, before the first other step
+//	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
+//	at T                      time goes on to T ms; the module's timers come as they fall due
+//	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS]
+//	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed] [report=A,B]
+//	left RPC                  the client has gone
+//	held W F OUTCOME COPIES   an order's answer
+//	checked W OUTCOME         a check's answer
+//	want ACTION ...           the next action; $x binds a worker or must be it, !$x must not be it
+//	log TEXT                  a line logged since the last such step holds TEXT
+//
+// Every action must be wanted before the next step.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for part := range strings.SplitSeq(string(text), "\n== ") {
+			name, steps, _ := strings.Cut(part, "\n")
+			t.Run(filepath.Base(file)+"/"+strings.TrimPrefix(name, "== "), func(t *testing.T) { play(t, steps) })
+		}
+	}
+}
+
+type timer struct {
+	due   Time
+	token uint64
+}
+
+// stage plays one scenario: it is the module's Port and keeps what the module did.
+type stage struct {
+	t      *testing.T
+	now    Time
+	set    Settings
+	router *Router
+	rpcs   map[string]*RPC
+	names  map[RPCID]string
+	bound  map[string]string
+	did    []string
+	logs   []string
+	timers []timer
+}
+
+func (s *stage) act(format string, args ...any)       { s.did = append(s.did, fmt.Sprintf(format, args...)) }
+func (s *stage) Send(p RPCID, w WorkerID, _ Time)     { s.act("send %s %d", s.names[p], w) }
+func (s *stage) Deny(p RPCID, comeBack Time)          { s.act("deny %s %d", s.names[p], comeBack/ms) }
+func (s *stage) Abort(p RPCID)                        { s.act("abort %s", s.names[p]) }
+func (s *stage) Retract(p RPCID, n int)               { s.act("retract %s %d", s.names[p], n) }
+func (s *stage) Check(w WorkerID)                     { s.act("check %d", w) }
+func (s *stage) Hold(w WorkerID, f FunctionID, n int) { s.act("hold %d %d %d", w, f, n) }
+func (s *stage) Listen()                              { s.act("listen") }
+func (s *stage) Log(text string)                      { s.logs = append(s.logs, text) }
+func (s *stage) Remind(after Time, token uint64) {
+	s.timers = append(s.timers, timer{s.now + after, token})
+}
+
+func number(t *testing.T, text string) float64 {
+	t.Helper()
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func play(t *testing.T, steps string) {
+	s := &stage{t: t, set: Settings{}, rpcs: map[string]*RPC{}, names: map[RPCID]string{}, bound: map[string]string{}}
+	for i, line := range strings.Split(steps, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		f := strings.Fields(line)
+		if len(f) == 0 {
+			continue
+		}
+		if f[0] != "want" && f[0] != "log" && len(s.did) > 0 {
+			t.Fatalf("line %d, before %q: also did %q", i+2, line, s.did)
+		}
+		if f[0] != "set" && s.router == nil {
+			s.router = New(s, s.now, 1, s.set)
+		}
+		if err := s.step(f, line); err != nil {
+			t.Fatalf("line %d, %q: %v", i+2, line, err)
+		}
+		if f[0] != "set" && f[0] != "want" && f[0] != "log" {
+			s.router.Settle(s.now)
+		}
+	}
+	if len(s.did) > 0 {
+		t.Fatalf("at the end: also did %q", s.did)
+	}
+}
+
+var (
+	outcomeWords = map[string]Outcome{"ok": OK, "error": Errored, "full": Full, "timeout": TimedOut, "connect": ConnectFailed,
+		"reset": Reset, "calledoff": CalledOff, "moot": Moot, "missed": Missed}
+	warmthWords = map[string]Warmth{"": Untold, "stood": StoodWarm, "began": BeganLoad, "joined": JoinedLoad,
+		"failed": LoadFailed}
+	stateWords = map[string]Readiness{"gone": Gone, "ready": Ready, "draining": Draining}
+	formWords  = map[string]ListForm{"changes": Changes, "whole": Whole, "cached": Cached, "failed": Failed}
+)
+
+func (s *stage) step(f []string, line string) error {
+	options := map[string]string{}
+	for _, word := range f[1:] {
+		if name, value, found := strings.Cut(word, "="); found {
+			options[name] = value
+		}
+	}
+	get := func(name string, or float64) float64 {
+		if text, told := options[name]; told {
+			return number(s.t, text)
+		}
+		return or
+	}
+	span := func(name string, or float64) Time { return Time(get(name, or) * float64(ms)) }
+	worker := func(text string) WorkerID {
+		if strings.HasPrefix(text, "$") {
+			text = s.bound[text]
+		}
+		return WorkerID(number(s.t, text))
+	}
+	switch f[0] {
+	case "set":
+		switch v, err := strconv.ParseFloat(f[2], 64); {
+		case f[2] == "yes":
+			s.set[f[1]] = true
+		case err == nil:
+			s.set[f[1]] = v
+		default:
+			s.set[f[1]] = f[2]
+		}
+	case "list":
+		s.router.ListBegins(s.now, formWords[f[1]], 1)
+		for _, text := range f[2:] {
+			w := append(strings.Split(text, ":"), "ready", "0", "0", "0")
+			given := strings.Count(text, ":")
+			part := func(i int, or string) string {
+				if i <= given {
+					return w[i]
+				}
+				return or
+			}
+			s.router.Listed(s.now, worker(w[0]), stateWords[part(1, "ready")],
+				Time(number(s.t, part(2, "0")))*ms, ZoneID(number(s.t, part(3, "0"))), CellID(number(s.t, part(4, "0"))), 0, 1)
+		}
+		s.router.ListEnds(s.now)
+	case "at":
+		s.goTo(Time(number(s.t, f[1])) * ms)
+	case "take":
+		id := RPCID(len(s.names) + 1)
+		s.names[id] = f[1]
+		s.rpcs[f[1]] = s.router.Take(s.now, id, MethodID(get("m", 0)), CustomerID(get("customer", 0)),
+			FunctionID(get("fn", 1)), span("budget", 3000), float64(span("cost", 0)), get("mem", 100),
+			int(get("lanes", 1)), span("load", 500), false)
+	case "end":
+		var report []float64
+		if text, told := options["report"]; told {
+			for value := range strings.SplitSeq(text, ",") {
+				report = append(report, number(s.t, value))
+			}
+		}
+		closed := f[len(f)-1] == "closed" || f[3] == "ok"
+		s.rpcs[f[1]].Ended(s.now, int(number(s.t, f[2])), 0, outcomeWords[f[3]], closed, warmthWords[options["warm"]],
+			int(get("crowd", 0)), span("took", 50), report)
+	case "left":
+		s.rpcs[f[1]].Left(s.now)
+	case "held":
+		s.router.Held(s.now, worker(f[1]), FunctionID(number(s.t, f[2])), outcomeWords[f[3]], int(number(s.t, f[4])), sec/2)
+	case "checked":
+		s.router.Checked(s.now, worker(f[1]), outcomeWords[f[2]], ms, nil)
+	case "want":
+		return s.want(f[1:])
+	case "log":
+		text := strings.TrimSpace(strings.TrimPrefix(strings.TrimSpace(line), "log"))
+		all := strings.Join(s.logs, "\n")
+		s.logs = nil
+		if !strings.Contains(all, text) {
+			return fmt.Errorf("logged %q", all)
+		}
+	default:
+		return fmt.Errorf("unknown step")
+	}
+	return nil
+}
+
+// goTo lets the timers fall due in turn; it stops early once the module has acted.
+func (s *stage) goTo(end Time) {
+	for len(s.did) == 0 {
+		next := -1
+		for i, tm := range s.timers {
+			if tm.due <= end && (next < 0 || tm.due < s.timers[next].due) {
+				next = i
+			}
+		}
+		if next < 0 {
+			s.now = end
+			return
+		}
+		tm := s.timers[next]
+		s.timers = append(s.timers[:next], s.timers[next+1:]...)
+		s.now = max(s.now, tm.due)
+		s.router.Reminded(s.now, tm.token)
+		s.router.Settle(s.now)
+	}
+}
+
+func (s *stage) want(words []string) error {
+	if len(s.did) == 0 {
+		return fmt.Errorf("did nothing")
+	}
+	got := strings.Fields(s.did[0])
+	if len(got) < len(words) {
+		return fmt.Errorf("did %q", s.did)
+	}
+	for i, word := range words {
+		bare := strings.TrimPrefix(word, "!")
+		if strings.HasPrefix(bare, "$") {
+			if _, known := s.bound[bare]; !known {
+				s.bound[bare] = got[i]
+			}
+			word = strings.Replace(word, bare, s.bound[bare], 1)
+		}
+		if (got[i] == strings.TrimPrefix(word, "!")) == strings.HasPrefix(word, "!") {
+			return fmt.Errorf("did %q", s.did)
+		}
+	}
+	s.did = s.did[1:]
+	return nil
+}
