--- a/router/router.go
+++ b/router/router.go
@@ -984,7 +984,7 @@
 	stuck := map[*function]bool{}
 	for _, p := range queue {
 		if p.queued && !stuck[p.fn] && !p.place() {
-			stuck[p.fn] = true
+			stuck[p.fn] = len(p.calls) == 0 // one that was out before may be barred where others are not
 		}
 	}
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -14,8 +14,8 @@
 //	set NAME VALUE            a setting, before the first other step
 //	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
 //	at T                      time goes on to T ms; the module's timers come as they fall due
-//	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS]
-//	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed] [report=A,B]
+//	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [times=N]
+//	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed]
 //	left RPC                  the client has gone
 //	held W F OUTCOME COPIES   an order's answer
 //	checked W OUTCOME         a check's answer
@@ -33,9 +33,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for part := range strings.SplitSeq(string(text), "\n== ") {
+		prelude, scenarios, _ := strings.Cut(string(text), "\n== ")
+		for part := range strings.SplitSeq(scenarios, "\n== ") {
 			name, steps, _ := strings.Cut(part, "\n")
-			t.Run(filepath.Base(file)+"/"+strings.TrimPrefix(name, "== "), func(t *testing.T) { play(t, steps) })
+			t.Run(filepath.Base(file)+"/"+name, func(t *testing.T) { play(t, prelude+"\n"+steps) })
 		}
 	}
 }
@@ -82,7 +83,8 @@
 }
 
 func play(t *testing.T, steps string) {
-	s := &stage{t: t, set: Settings{}, rpcs: map[string]*RPC{}, names: map[RPCID]string{}, bound: map[string]string{}}
+	s := &stage{t: t, set: Settings{}, rpcs: map[string]*RPC{}, names: map[RPCID]string{},
+		bound: map[string]string{}}
 	for i, line := range strings.Split(steps, "\n") {
 		line, _, _ = strings.Cut(line, "#")
 		f := strings.Fields(line)
@@ -108,8 +110,8 @@
 }
 
 var (
-	outcomeWords = map[string]Outcome{"ok": OK, "error": Errored, "full": Full, "timeout": TimedOut, "connect": ConnectFailed,
-		"reset": Reset, "calledoff": CalledOff, "moot": Moot, "missed": Missed}
+	outcomeWords = map[string]Outcome{"ok": OK, "error": Errored, "full": Full, "timeout": TimedOut,
+		"connect": ConnectFailed, "reset": Reset, "calledoff": CalledOff, "moot": Moot, "missed": Missed}
 	warmthWords = map[string]Warmth{"": Untold, "stood": StoodWarm, "began": BeganLoad, "joined": JoinedLoad,
 		"failed": LoadFailed}
 	stateWords = map[string]Readiness{"gone": Gone, "ready": Ready, "draining": Draining}
@@ -149,40 +151,34 @@
 	case "list":
 		s.router.ListBegins(s.now, formWords[f[1]], 1)
 		for _, text := range f[2:] {
-			w := append(strings.Split(text, ":"), "ready", "0", "0", "0")
-			given := strings.Count(text, ":")
-			part := func(i int, or string) string {
-				if i <= given {
-					return w[i]
-				}
-				return or
-			}
-			s.router.Listed(s.now, worker(w[0]), stateWords[part(1, "ready")],
-				Time(number(s.t, part(2, "0")))*ms, ZoneID(number(s.t, part(3, "0"))), CellID(number(s.t, part(4, "0"))), 0, 1)
+			w := strings.Split(text, ":")
+			w = append(w, []string{"ready", "0", "0", "0"}[len(w)-1:]...)
+			s.router.Listed(s.now, worker(w[0]), stateWords[w[1]], Time(number(s.t, w[2]))*ms,
+				ZoneID(number(s.t, w[3])), CellID(number(s.t, w[4])), 0, 1)
 		}
 		s.router.ListEnds(s.now)
 	case "at":
 		s.goTo(Time(number(s.t, f[1])) * ms)
 	case "take":
-		id := RPCID(len(s.names) + 1)
-		s.names[id] = f[1]
-		s.rpcs[f[1]] = s.router.Take(s.now, id, MethodID(get("m", 0)), CustomerID(get("customer", 0)),
-			FunctionID(get("fn", 1)), span("budget", 3000), float64(span("cost", 0)), get("mem", 100),
-			int(get("lanes", 1)), span("load", 500), false)
-	case "end":
-		var report []float64
-		if text, told := options["report"]; told {
-			for value := range strings.SplitSeq(text, ",") {
-				report = append(report, number(s.t, value))
+		for i := range int(get("times", 1)) {
+			name, id := f[1], RPCID(len(s.names)+1)
+			if options["times"] != "" {
+				name += strconv.Itoa(i + 1)
 			}
+			s.names[id] = name
+			s.rpcs[name] = s.router.Take(s.now, id, MethodID(get("m", 0)), CustomerID(get("customer", 0)),
+				FunctionID(get("fn", 1)), span("budget", 3000), float64(span("cost", 0)), get("mem", 100),
+				int(get("lanes", 1)), span("load", 500), false)
 		}
+	case "end":
 		closed := f[len(f)-1] == "closed" || f[3] == "ok"
-		s.rpcs[f[1]].Ended(s.now, int(number(s.t, f[2])), 0, outcomeWords[f[3]], closed, warmthWords[options["warm"]],
-			int(get("crowd", 0)), span("took", 50), report)
+		s.rpcs[f[1]].Ended(s.now, int(number(s.t, f[2])), 0, outcomeWords[f[3]], closed,
+			warmthWords[options["warm"]], int(get("crowd", 0)), span("took", 50), nil)
 	case "left":
 		s.rpcs[f[1]].Left(s.now)
 	case "held":
-		s.router.Held(s.now, worker(f[1]), FunctionID(number(s.t, f[2])), outcomeWords[f[3]], int(number(s.t, f[4])), sec/2)
+		s.router.Held(s.now, worker(f[1]), FunctionID(number(s.t, f[2])), outcomeWords[f[3]],
+			int(number(s.t, f[4])), sec/2)
 	case "checked":
 		s.router.Checked(s.now, worker(f[1]), outcomeWords[f[2]], ms, nil)
 	case "want":
