The cold budget leaves out what lost workers did: served work is kept by worker

Also holds for crashes and deploys in bulk; it hurts where a kind has no warm worker: one RPC a window.

--- a/router/router.go
+++ b/router/router.go
@@ -40,6 +40,7 @@
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
 	limitSoft    = 8   // part of the soft deadline within which warm answers let a worker's limit grow
+	servedFade   = 5 * sec
 	crowdFade    = sec
 	keepBusy     = 5 // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec
@@ -62,8 +63,6 @@
 	seen             float64 // memory of one copy of each function
 	held, out        []*RPC  // in order of arrival; with a call-out out
 	orders, taken    []Time  // load orders and RPCs taken within the ration's window
-	served           map[KindID]float64
-	servedAt         Time
 	pending, total   int     // loads under way; they and all instances
 	room, totalCap   float64 // the caps of both: learned from the store; what the workers' memory holds
 	slow             float64 // median slowness of the workers, 1 at least
@@ -127,6 +126,7 @@
 	checking, trial   bool      // a check is out; the next RPC may try it
 	sent              []sending // while cold
 	util, pinned      float64   // as last reported
+	served            float64   // work done for us per unit of time, lately
 }
 
 type sending struct {
@@ -173,8 +173,7 @@
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
-		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, served: map[KindID]float64{},
-		servedAt: now, zone: ZoneID(s.num("zone", 0)), born: now, slow: 1}
+		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)), born: now, slow: 1}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
@@ -538,7 +537,7 @@
 
 // coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker
 // must stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm
-// workers of its kind were seen to do for us; each front end sees its own share, so the shares add up.
+// workers of its kind do for us, dead ones left out; each front end sees its share, so the shares add up.
 func (r *Router) coldRoom(w *worker, m *method) bool {
 	if !r.cold(w) {
 		return true
@@ -550,14 +549,13 @@
 	}
 	from := r.set.num("rules.cold-from", 0.1)
 	share := from + (1-from)*max(0, float64(r.now-window-w.started))/float64(r.set.span("rules.cold", 20*sec))
-	warm := 0
+	warm, served := 0.0, 0.0
 	for _, o := range r.list {
 		if o.kind == w.kind && o.state == Ready && !r.cold(o) {
-			warm++
+			warm, served = warm+1, served+o.served
 		}
 	}
-	rate := share * r.served[w.kind] / float64(max(warm, 1))
-	budget := r.set.num("rules.fall-multiple", 1) * rate * float64(window)
+	budget := r.set.num("rules.fall-multiple", 1) * share * served / max(warm, 1) * float64(window)
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
@@ -703,7 +701,7 @@
 	case OK:
 		w.heard = r.now
 		w.errors -= w.errors / 4
-		r.serve(w, p.m.mean())
+		w.served += p.m.mean() / float64(servedFade)
 		if w.holds[fn.id] == nil {
 			w.holds[fn.id] = in
 		}
@@ -799,13 +797,6 @@
 	fn.backoff = min(2*fn.backoff, loadBackMax)
 }
 
-// serve counts work done by warm workers, by kind: the measure of what a cold one may be sent.
-func (r *Router) serve(w *worker, cost float64) {
-	if !r.cold(w) {
-		r.served[w.kind] += cost / float64(5*sec)
-	}
-}
-
 func (w *worker) report(r *Router, values []float64) {
 	get := func(name string, old float64) float64 {
 		if at := int(r.set.num("report.values."+name, -1)); at >= 0 && at < len(values) {
@@ -872,10 +863,8 @@
 		return
 	}
 	r.port.Remind(beat, 0)
-	fade := math.Exp(-float64(now-r.servedAt) / float64(5*sec))
-	r.servedAt = now
-	for kind := range r.served {
-		r.served[kind] *= fade
+	for _, w := range r.list {
+		w.served -= w.served * float64(beat) / float64(servedFade)
 	}
 	r.count()
 	r.watchSilence()
