--- a/router/router.go
+++ b/router/router.go
@@ -41,6 +41,7 @@
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
 	limitSoft    = 8   // part of the soft deadline within which warm answers let a worker's limit grow
 	servedFade   = 5 * sec
+	coldStretch  = 1.5 // what warm workers could do over what they are seen to do, at the least
 	crowdFade    = sec
 	keepBusy     = 5 // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec
@@ -555,7 +556,7 @@
 			warm, served = warm+1, served+o.served
 		}
 	}
-	budget := r.set.num("rules.fall-multiple", 1) * share * served / max(warm, 1) * float64(window)
+	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * served / max(warm, 1) * float64(window)
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
