A held RPC with no time left for a load neither begins nor joins one

Also covers slow stores; may hurt where clients' tries are shorter than a load: only RPCs that were held are barred, so first landings still load.

--- a/router/router.go
+++ b/router/router.go
@@ -363,6 +363,9 @@
 		p.send(best)
 		return true
 	}
+	if p.queued && !p.timeToLoad() { // it would end waiting, and the load in vain
+		return false
+	}
 	if joining != nil { // exception: an RPC joins a load this front end began, within its lanes
 		p.send(joining)
 		return true
@@ -953,6 +956,9 @@
 // leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up.
 func (p *RPC) leaveAt() Time { return p.end - max(Time(p.fn.work), 2*beat) }
 
+// timeToLoad: the client waits for long enough for a load and the RPC's own work.
+func (p *RPC) timeToLoad() bool { return float64(p.end-p.r.now) >= p.fn.load+p.fn.work }
+
 // worth is what an answer would earn now: past the soft deadline little, beyond the customer's share little.
 func (p *RPC) worth() float64 {
 	if p.r.now+Time(p.fn.work) > p.at+p.m.soft {
@@ -974,7 +980,7 @@
 	stuck := map[*function]bool{}
 	for _, p := range queue {
 		if p.queued && !stuck[p.fn] && !p.place() {
-			stuck[p.fn] = len(p.calls) == 0 // one that was out before may be barred where others are not
+			stuck[p.fn] = len(p.calls) == 0 && p.timeToLoad() // else others may go where it may not
 		}
 	}
 }
