--- a/router/router.go
+++ b/router/router.go
@@ -939,6 +939,8 @@
 		due := silentWorks*p.fn.work + p.fn.load // a belief may be wrong
 		if c.cold {
 			due += 2 * p.fn.load
+		} else if !c.done && c.in.toldAt < c.at && float64(r.now-c.at) > silentWorks*p.fn.work {
+			c.in.loading = true // inferred: what we believed warm is being loaded, or worse
 		}
 		if c.done || c.retracted || c.w.heard > c.at || float64(r.now-c.at) < due {
 			continue
