--- a/router/router.go
+++ b/router/router.go
@@ -39,7 +39,7 @@
 	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
-	limitSoft    = 8   // part of the soft deadline within which warm answers let a worker's limit grow
+	limitSoft    = 12   // part of the soft deadline within which warm answers let a worker's limit grow
 	servedFade   = 5 * sec
 	coldStretch  = 1.5 // what warm workers could do over what they are seen to do, at the least
 	crowdFade    = sec
