--- a/router/router.go
+++ b/router/router.go
@@ -39,7 +39,7 @@
 	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
 	silentWorks  = 6   // an answer later than so many usual times counts towards silence
 	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
-	limitSoft    = 12   // part of the soft deadline within which warm answers let a worker's limit grow
+	limitSoft    = 12  // part of the soft deadline within which warm answers let a worker's limit grow
 	servedFade   = 5 * sec
 	coldStretch  = 1.5 // what warm workers could do over what they are seen to do, at the least
 	crowdFade    = sec
@@ -174,7 +174,8 @@
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
-		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)), born: now, slow: 1}
+		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)),
+		born: now, slow: 1}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
