--- a/router/router_test.go
+++ b/router/router_test.go
@@ -9,7 +9,8 @@
 	"testing"
 )
 
-// A scenario is a text file of one step a line; '#' begins a comment.
+// A file has scenarios, each under a line of '== NAME', one step a line; '#' begins a comment. What stands before
+// the first scenario holds for all of the file.
 //
 //	set NAME VALUE            a setting, before the first other step
 //	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
