--- a/router/router.go
+++ b/router/router.go
@@ -34,19 +34,19 @@
 	priorLoad    = sec      // a load's time before any was seen or told
 	priorWork    = sec / 10 // an RPC's time on a warm instance before any was seen
 	illBackMin   = sec      // first pause of a worker found ill, doubling
-	illBackMax   = 8 * sec
-	errorsIll    = 0.5 // smoothed share of errors above which a worker is ill
-	slowIll      = 3.5 // smoothed slowness against peers above which a worker is ill
-	silentWorks  = 6   // an answer later than so many usual times counts towards silence
-	zoneSpare    = 3   // a zone's memory over that of all functions in use, for loads to stay in the zone
-	limitSoft    = 12  // part of the soft deadline within which warm answers let a worker's limit grow
-	servedFade   = 5 * sec
-	coldStretch  = 1.5 // what warm workers could do over what they are seen to do, at the least
-	crowdFade    = sec
-	keepBusy     = 5 // RPCs of all front ends that a worker can always be given at once
-	needFade     = 3 * sec
-	listenAgain  = 1 // token of the timer that asks for the list again
-	startingRoom = 4 // RPCs out at one worker before any answer has taught us better
+	illBackMax   = 8 * sec  // last one
+	errorsIll    = 0.5      // smoothed share of errors above which a worker is ill
+	slowIll      = 3.5      // smoothed slowness against peers above which a worker is ill
+	silentWorks  = 6        // an answer later than so many usual times counts towards silence
+	zoneSpare    = 3        // a zone's memory over that of all functions in use, for loads to stay in the zone
+	limitSoft    = 12       // part of the soft deadline within which warm answers let a worker's limit grow
+	servedFade   = 5 * sec  // time over which the work of warm workers is averaged
+	coldStretch  = 1.5      // what warm workers could do over what they are seen to do, at the least
+	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
+	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
+	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
+	listenAgain  = 1        // token of the timer that asks for the list again
+	startingRoom = 4        // RPCs out at one worker before any answer has taught us better
 )
 
 // Router is the decision module of one front end.
