--- a/router/port.go
+++ b/router/port.go
@@ -17,7 +17,6 @@
 	ZoneID     uint16
 	CellID     uint16
 	KindID     uint8
-	PeerID     uint16
 )
 
 // Outcome is how a call-out, a check or a load order ended.
--- a/router/router.go
+++ b/router/router.go
@@ -86,7 +86,6 @@
 
 type function struct {
 	id         FunctionID
-	memory     float64
 	lanes      int
 	load, work float64 // usual time of a load, and on a warm instance
 	out, held  int     // RPCs out and held
@@ -291,7 +290,7 @@
 		r.fns[fid] = fn
 		r.seen += memory
 	}
-	fn.memory, fn.lanes = memory, max(lanes, 1)
+	fn.lanes = max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, end: now + budget, gain: r.methods[m].gain}
 	if cost > 0 {
 		p.m.cost += (cost - p.m.cost) / 20
@@ -329,7 +328,7 @@
 // went out; if not, the caller holds it.
 func (p *RPC) place() bool {
 	r := p.r
-	if len(p.calls) >= int(r.set.num("may.call-outs", 1)) {
+	if p.spent() {
 		return false
 	}
 	var best, joining *worker
@@ -530,6 +529,9 @@
 	return now >= w.fullUntil && float64(n) < w.limit
 }
 
+// spent: the RPC has had all the call-outs that the settings allow.
+func (p *RPC) spent() bool { return len(p.calls) >= int(p.r.set.num("may.call-outs", 1)) }
+
 // mayRepeatAt keeps rule two for a further call-out.
 func (p *RPC) mayRepeatAt(w *worker) bool {
 	if p.out > 0 || p.risk == nil || p.m.effect == Idempotent {
@@ -690,7 +692,7 @@
 		return
 	}
 	if p.mayHave && p.m.effect == SideEffecting || o == TimedOut && !c.retracted || r.now >= p.leaveAt() ||
-		len(p.calls) >= int(r.set.num("may.call-outs", 1)) {
+		p.spent() {
 		p.giveUp()
 		return
 	}
@@ -949,7 +951,7 @@
 			c.w.sicken(r, "silence", float64(r.now-c.at)/float64(ms))
 		}
 		if r.set.is("may.retract") && !p.ended && p.m.effect != SideEffecting && r.now < p.leaveAt() &&
-			len(p.calls) < int(r.set.num("may.call-outs", 1)) {
+			!p.spent() {
 			c.retracted = true
 			r.port.Retract(p.id, len(p.calls)-1)
 		}
