Cold budget by turns: a part of an RPC goes to as many front ends as the parts make up

May hurt when the few front ends in turn have no RPC for the worker: it warms unused, and is warm after the stated time.

--- a/router/router.go
+++ b/router/router.go
@@ -42,6 +42,7 @@
 	limitSoft    = 12       // part of the soft deadline within which warm answers let a worker's limit grow
 	servedFade   = 5 * sec  // time over which the work of warm workers is averaged
 	coldStretch  = 1.5      // what warm workers could do over what they are seen to do, at the least
+	coldFew      = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
@@ -544,16 +545,15 @@
 
 // coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker
 // must stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm
-// workers of its kind do for us, dead ones left out; each front end sees its share, so the shares add up.
+// workers of its kind do for us, dead ones left out; each front end sees its share, so the shares add up. A
+// part of an RPC that is left of a share is a whole one for as many front ends as the parts make up: those
+// whose turn comes first at this worker, which all count alike.
 func (r *Router) coldRoom(w *worker, m *method) bool {
 	if !r.cold(w) {
 		return true
 	}
 	window := r.set.span("rules.fall", sec)
 	w.sent = slices.DeleteFunc(w.sent, func(s sending) bool { return s.at < r.now-window-beat })
-	if len(w.sent) == 0 {
-		return true
-	}
 	from := r.set.num("rules.cold-from", 0.1)
 	share := from + (1-from)*max(0, float64(r.now-window-w.started))/float64(r.set.span("rules.cold", 20*sec))
 	warm, served := 0.0, 0.0
@@ -563,10 +563,17 @@
 		}
 	}
 	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * served / max(warm, 1) * float64(window)
+	all := max(1, r.set.num("front-ends", 1))
+	turn := math.Mod(r.set.num("me", 0)+float64(mix(uint64(w.id))%uint64(all)), all)
+	n := math.Floor(budget/m.mean() + 1 - (turn+1)/all)
+	if turn < coldFew {
+		n = max(n, 1)
+	}
+	budget = (n - 0.5) * m.mean()
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
-	return budget >= m.mean()
+	return budget >= 0
 }
 
 func (r *Router) cold(w *worker) bool {
