--- a/router/router.go
+++ b/router/router.go
@@ -68,6 +68,7 @@
 	pending, total   int     // loads under way; they and all instances
 	room, totalCap   float64 // the caps of both: learned from the store; what the workers' memory holds
 	slow             float64 // median slowness of the workers, 1 at least
+	real             float64 // share of our loads that found no copy of another front end's
 	near             bool    // loads stay in the zone
 	allIll           bool    // health is ignored
 	dirty, wholeList bool
@@ -175,7 +176,7 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
 		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)),
-		born: now, slow: 1}
+		born: now, slow: 1, real: 1}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
@@ -426,7 +427,7 @@
 	if p.queued && float64(r.now-p.at) > fn.load {
 		limit = max(fnCap, need)
 	}
-	if float64(count) >= limit || float64(r.total+1) > r.totalCap || float64(r.pending) >= r.room ||
+	if float64(count) >= limit || float64(r.total+1) > r.totalCap || float64(r.pending)*r.real >= r.room ||
 		r.now < fn.loadNext {
 		return false
 	}
@@ -719,7 +720,8 @@
 		if w.holds[fn.id] == nil {
 			w.holds[fn.id] = in
 		}
-		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold
+		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold &&
+			float64(took) > fn.work+fn.load/2
 		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
 		in.executed++
 		in.lastUse = r.now
@@ -780,6 +782,10 @@
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
 	if in.loading {
 		in.loading, in.since = false, r.now
+		r.real -= r.real / 16
+		if cold {
+			r.real += 1. / 16
+		}
 	}
 	if !cold {
 		return
