--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
+	newsLasts    = sec      // for so long a report counts
 	listenAgain  = 1        // token of the timer that asks for the list again
 	startingRoom = 4        // RPCs out at one worker before any answer has taught us better
 )
@@ -128,6 +129,7 @@
 	checking, trial   bool      // a check is out; the next RPC may try it
 	sent              []sending // while cold
 	util, pinned      float64   // as last reported
+	toldAt            Time      // when
 	served            float64   // work done for us per unit of time, lately
 }
 
@@ -479,7 +481,7 @@
 		if idle == nil || w.active < idle.active || w.active == idle.active && r.rng.Intn(2) == 0 {
 			idle = w
 		}
-		if w.util > 0.95 || w.pinned > 0.9 || float64(w.active) > 1.5*mean+1 {
+		if r.now-w.toldAt < newsLasts && (w.util > 0.95 || w.pinned > 0.9) || float64(w.active) > 1.5*mean+1 {
 			continue
 		}
 		rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
@@ -824,7 +826,9 @@
 		}
 		return old
 	}
-	w.util, w.pinned = get("util", w.util), get("pinned", w.pinned)
+	if len(values) > 0 {
+		w.util, w.pinned, w.toldAt = get("util", 0), get("pinned", 0), r.now
+	}
 }
 
 // sicken takes a worker off the ordinary path for a doubling pause; then a check, then one RPC, tries it.
