A function's homes in number by its share of a mean worker's work

Cause: with one home for each function on which all front ends agree, a popular function overloads it.

--- a/router/router.go
+++ b/router/router.go
@@ -44,6 +44,7 @@
 	coldStretch  = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew      = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
+	homeShare    = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
 	newsLasts    = sec      // for so long a report counts
@@ -93,6 +94,7 @@
 	load, work float64 // usual time of a load, and on a warm instance
 	out, held  int     // RPCs out and held
 	need       float64 // recent peak of their sum
+	flow       float64 // our work for it per unit of time, lately
 	needAt     Time
 	errors     int // load errors in a row
 	halted     bool
@@ -465,17 +467,31 @@
 	return slices.DeleteFunc(times, func(t Time) bool { return t < from })
 }
 
-// loadTarget is the worker for a new load: a rendezvous hash of function and worker lets front ends that
-// share nothing agree on it; one that is busy or full is passed over. If none is left, the least busy.
+// loadTarget is the worker for a new load. A rendezvous hash of function and worker ranks its homes, so that
+// front ends that share nothing agree on them: as many as keep its work under a part of what a mean worker
+// does, and each front end has its own order of these. One that is busy or full is passed over. If none is
+// left, the least busy.
 func (p *RPC) loadTarget() *worker {
-	r := p.r
-	var best, idle *worker
-	bestRank, mean := uint64(0), 0.0
+	r, fn := p.r, p.fn
+	type home struct {
+		w    *worker
+		rank uint64
+	}
+	var homes []home
+	var idle *worker
+	mean, served := 0.0, 0.0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
+		if w.state == Ready && !r.far(w) {
+			served += w.served
+		}
 	}
+	near := 0
 	for _, w := range r.list {
-		if !p.allowed(w) || !w.open(r.now) || w.holds[p.fn.id] != nil {
+		if w.state == Ready && !r.far(w) {
+			near++
+		}
+		if !p.allowed(w) || !w.open(r.now) || w.holds[fn.id] != nil {
 			continue
 		}
 		if idle == nil || w.active < idle.active || w.active == idle.active && r.rng.Intn(2) == 0 {
@@ -484,15 +500,24 @@
 		if r.now-w.toldAt < newsLasts && (w.util > 0.95 || w.pinned > 0.9) || float64(w.active) > 1.5*mean+1 {
 			continue
 		}
-		rank := mix(uint64(p.fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
+		rank := mix(uint64(fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
 		if !r.far(w) {
 			rank |= 1 << 63
 		}
-		if best == nil || rank > bestRank {
-			best, bestRank = w, rank
-		}
+		homes = append(homes, home{w, rank})
+	}
+	if len(homes) == 0 {
+		return idle
 	}
-	return cmp.Or(best, idle)
+	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.rank, a.rank) })
+	n := min(len(homes), 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9)))
+	for n > 1 && r.far(homes[n-1].w) {
+		n--
+	}
+	me := uint64(r.set.num("me", 0)) * 0x9e3779b97f4a7c15
+	return slices.MaxFunc(homes[:n], func(a, b home) int {
+		return cmp.Compare(mix(a.rank^me), mix(b.rank^me))
+	}).w
 }
 
 // mix is the finalizer of splitmix64.
@@ -719,6 +744,7 @@
 		w.heard = r.now
 		w.errors -= w.errors / 4
 		w.served += p.m.mean() / float64(servedFade)
+		fn.flow += p.m.mean() / float64(servedFade)
 		if w.holds[fn.id] == nil {
 			w.holds[fn.id] = in
 		}
@@ -890,6 +916,9 @@
 	for _, w := range r.list {
 		w.served -= w.served * float64(beat) / float64(servedFade)
 	}
+	for _, fn := range r.fns {
+		fn.flow -= fn.flow * float64(beat) / float64(servedFade)
+	}
 	r.count()
 	r.watchSilence()
 	r.weighZone()
