--- a/router/router.go
+++ b/router/router.go
@@ -478,46 +478,41 @@
 		rank uint64
 	}
 	var homes []home
-	var idle *worker
-	mean, served := 0.0, 0.0
+	mean, served, near, count := 0.0, 0.0, 0, 0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
-		if w.state == Ready && !r.far(w) {
-			served += w.served
-		}
-	}
-	near := 0
-	for _, w := range r.list {
-		if w.state == Ready && !r.far(w) {
-			near++
-		}
-		if !p.allowed(w) || !w.open(r.now) || w.holds[fn.id] != nil {
-			continue
-		}
-		if idle == nil || w.active < idle.active || w.active == idle.active && r.rng.Intn(2) == 0 {
-			idle = w
-		}
-		if r.now-w.toldAt < newsLasts && (w.util > 0.95 || w.pinned > 0.9) || float64(w.active) > 1.5*mean+1 {
+		if w.state != Ready {
 			continue
 		}
 		rank := mix(uint64(fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
 		if !r.far(w) {
-			rank |= 1 << 63
+			served, near, rank = served+w.served, near+1, rank|1<<63
+		}
+		if w.holds[fn.id] != nil {
+			count++
+		} else if p.allowed(w) {
+			homes = append(homes, home{w, rank})
 		}
-		homes = append(homes, home{w, rank})
-	}
-	if len(homes) == 0 {
-		return idle
 	}
 	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.rank, a.rank) })
-	n := min(len(homes), 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9)))
-	for n > 1 && r.far(homes[n-1].w) {
-		n--
+	n := max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count)
+	if n = min(n, len(homes)); p.queued && float64(r.now-p.at) > fn.load {
+		n = len(homes)
 	}
+	var best *worker
+	bestRank := uint64(0)
 	me := uint64(r.set.num("me", 0)) * 0x9e3779b97f4a7c15
-	return slices.MaxFunc(homes[:n], func(a, b home) int {
-		return cmp.Compare(mix(a.rank^me), mix(b.rank^me))
-	}).w
+	for i, h := range homes {
+		if i >= n || i > 0 && r.far(h.w) && !r.far(homes[0].w) {
+			break
+		}
+		if rank := mix(h.rank ^ me); h.w.open(r.now) && (best == nil || rank > bestRank) &&
+			!(r.now-h.w.toldAt < newsLasts && (h.w.util > 0.95 || h.w.pinned > 0.9) ||
+				float64(h.w.active) > 1.5*mean+1) {
+			best, bestRank = h.w, rank
+		}
+	}
+	return best
 }
 
 // mix is the finalizer of splitmix64.
