--- a/router/router.go
+++ b/router/router.go
@@ -47,7 +47,6 @@
 	homeShare    = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
-	newsLasts    = sec      // for so long a report counts
 	listenAgain  = 1        // token of the timer that asks for the list again
 	startingRoom = 4        // RPCs out at one worker before any answer has taught us better
 )
@@ -131,7 +130,6 @@
 	checking, trial   bool      // a check is out; the next RPC may try it
 	sent              []sending // while cold
 	util, pinned      float64   // as last reported
-	toldAt            Time      // when
 	served            float64   // work done for us per unit of time, lately
 }
 
@@ -481,6 +479,8 @@
 	mean, served, near, count := 0.0, 0.0, 0, 0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
+	}
+	for _, w := range r.list {
 		if w.state != Ready {
 			continue
 		}
@@ -490,25 +490,22 @@
 		}
 		if w.holds[fn.id] != nil {
 			count++
-		} else if p.allowed(w) {
+		} else if p.allowed(w) && w.open(r.now) && float64(w.active) <= 1.5*mean+1 &&
+			w.util <= 0.95 && w.pinned <= 0.9 {
 			homes = append(homes, home{w, rank})
 		}
 	}
 	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.rank, a.rank) })
 	n := max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count)
-	if n = min(n, len(homes)); p.queued && float64(r.now-p.at) > fn.load {
-		n = len(homes)
-	}
+	n = min(n, len(homes))
 	var best *worker
 	bestRank := uint64(0)
 	me := uint64(r.set.num("me", 0)) * 0x9e3779b97f4a7c15
-	for i, h := range homes {
-		if i >= n || i > 0 && r.far(h.w) && !r.far(homes[0].w) {
+	for i, h := range homes[:n] {
+		if i > 0 && r.far(h.w) && !r.far(homes[0].w) {
 			break
 		}
-		if rank := mix(h.rank ^ me); h.w.open(r.now) && (best == nil || rank > bestRank) &&
-			!(r.now-h.w.toldAt < newsLasts && (h.w.util > 0.95 || h.w.pinned > 0.9) ||
-				float64(h.w.active) > 1.5*mean+1) {
+		if rank := mix(h.rank ^ me); best == nil || rank > bestRank {
 			best, bestRank = h.w, rank
 		}
 	}
@@ -848,7 +845,7 @@
 		return old
 	}
 	if len(values) > 0 {
-		w.util, w.pinned, w.toldAt = get("util", 0), get("pinned", 0), r.now
+		w.util, w.pinned = get("util", 0), get("pinned", 0)
 	}
 }
 
