Homes are asked for copies before a load; loads are paced by the store's share, below one too

Cause: a jammed store. Also covers mass releases and restarts of front ends. May hurt where a question costs more than a load saves.

--- a/router/router.go
+++ b/router/router.go
@@ -47,6 +47,9 @@
 	homeShare    = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
+	askHomes     = 2        // homes asked at once
+	askLasts     = sec      // for so long we don't ask again
+	askWait      = 3 * beat // for so long an answer is waited for
 	listenAgain  = 1        // token of the timer that asks for the list again
 	startingRoom = 4        // RPCs out at one worker before any answer has taught us better
 )
@@ -70,6 +73,9 @@
 	room, totalCap   float64 // the caps of both: learned from the store; what the workers' memory holds
 	slow             float64 // median slowness of the workers, 1 at least
 	real             float64 // share of our loads that found no copy of another front end's
+	tokens           float64 // loads that may begin now
+	tokensAt         Time
+	room0            float64 // this front end's share of two loads a worker
 	near             bool    // loads stay in the zone
 	allIll           bool    // health is ignored
 	dirty, wholeList bool
@@ -99,12 +105,14 @@
 	halted     bool
 	backoff    Time
 	loadNext   Time // no load before
+	askNext    Time // no asking before
 }
 
 // instance is what is believed of one function's copies on one worker.
 type instance struct {
 	copies           int
 	loading, ordered bool // a load is under way; it is an order's, no RPC rides on it
+	asked            bool // no more is known than that we asked for copies
 	since, lastUse   Time // when the load began or ended; when it was last used
 	toldAt           Time // when others was last told
 	active, executed int
@@ -244,6 +252,7 @@
 	r.count()
 	if r.room == 0 {
 		r.room = 2 * float64(len(r.list)) / r.set.num("front-ends", 1)
+		r.room0, r.tokens = r.room, max(r.room, 1)
 	}
 }
 
@@ -252,6 +261,12 @@
 	r.pending, r.total, r.totalCap = 0, 0, 0
 	for _, w := range r.list {
 		for id, in := range w.holds {
+			if in.asked && r.now-in.since >= askWait {
+				delete(w.holds, id)
+			}
+			if in.asked {
+				continue
+			}
 			if in.loading {
 				r.pending++
 			} else if in.active == 0 && r.now-in.lastUse >= r.set.span("functions.keep-alive", 10*sec) {
@@ -336,12 +351,16 @@
 		return false
 	}
 	var best, joining *worker
-	count, roomy := 0, false
+	count, roomy, asking := 0, false, false
 	for _, w := range r.list {
 		in := w.holds[p.fn.id]
 		if in == nil || !p.allowed(w) {
 			continue
 		}
+		if in.asked {
+			asking = true
+			continue
+		}
 		count += in.copies
 		if !in.hasRoom(p.fn, r.now) {
 			continue
@@ -360,8 +379,8 @@
 	}
 	if best != nil {
 		if r.far(best) && r.set.is("functions.orders") && count < fnCap && r.now >= p.fn.loadNext {
-			if w := p.loadTarget(); w != nil && !r.far(w) && r.mayOrder() {
-				p.order(w)
+			if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
+				p.order(homes[0])
 			}
 		}
 		p.send(best)
@@ -375,7 +394,7 @@
 		return true
 	}
 	// Exception: lanes stand free at a worker at its limit; another copy would not help.
-	return !roomy && p.load(count)
+	return !roomy && !asking && p.load(count)
 }
 
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
@@ -429,14 +448,29 @@
 	if p.queued && float64(r.now-p.at) > fn.load {
 		limit = max(fnCap, need)
 	}
-	if float64(count) >= limit || float64(r.total+1) > r.totalCap || float64(r.pending)*r.real >= r.room ||
-		r.now < fn.loadNext {
+	if float64(count) >= limit || float64(r.total+1) > r.totalCap || r.now < fn.loadNext ||
+		float64(r.pending)*r.real >= max(r.room, 1) {
 		return false
 	}
-	w := p.loadTarget()
-	if w == nil {
+	homes := p.homes()
+	if len(homes) == 0 {
+		return false
+	}
+	w := homes[0]
+	// Exception: where asking is allowed, the first homes are asked for copies that others brought there, and
+	// the RPC waits the moment that this takes: a load less for the store.
+	if r.set.is("functions.orders") && r.now >= fn.askNext {
+		fn.askNext = r.now + askLasts
+		for _, w := range homes[:min(askHomes, len(homes))] {
+			w.holds[fn.id] = &instance{asked: true, since: r.now, lastUse: r.now}
+			r.port.Hold(w.id, fn.id, 0)
+		}
 		return false
 	}
+	if !r.mayLoad(fn) {
+		return false
+	}
+	r.tokens -= r.real
 	if fn.halted {
 		fn.loadNext = r.now + fn.backoff // one trial load
 	}
@@ -449,6 +483,14 @@
 	return true
 }
 
+// mayLoad paces loads by what the store is seen to take: room at once, each for the time of one, and where
+// room is below one RPC, as many fewer. Only the part of them that no other front end has brought counts.
+func (r *Router) mayLoad(fn *function) bool {
+	r.tokens = min(r.tokens+r.room*float64(r.now-r.tokensAt)/fn.load, max(r.room, 1))
+	r.tokensAt = r.now
+	return r.tokens >= r.real
+}
+
 // mayOrder keeps rule five: orders within the window, this one included, under the ration.
 func (r *Router) mayOrder() bool {
 	if r.set.span("functions.load-window", 0) == 0 {
@@ -465,11 +507,11 @@
 	return slices.DeleteFunc(times, func(t Time) bool { return t < from })
 }
 
-// loadTarget is the worker for a new load. A rendezvous hash of function and worker ranks its homes, so that
-// front ends that share nothing agree on them: as many as keep its work under a part of what a mean worker
-// does, and each front end has its own order of these. One that is busy or full is passed over. If none is
-// left, the least busy.
-func (p *RPC) loadTarget() *worker {
+// homes are the workers for a new load, best first. A rendezvous hash of function and worker ranks them, so
+// that front ends that share nothing agree: as many as keep the function's work under a part of what a mean
+// worker does are its homes, and each front end has its own order of these; the others come after by rank.
+// One that is busy or full is passed over.
+func (p *RPC) homes() []*worker {
 	r, fn := p.r, p.fn
 	type home struct {
 		w    *worker
@@ -496,20 +538,17 @@
 		}
 	}
 	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.rank, a.rank) })
-	n := max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count)
-	n = min(n, len(homes))
-	var best *worker
-	bestRank := uint64(0)
+	n := min(len(homes), max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count))
+	for n > 1 && r.far(homes[n-1].w) {
+		n--
+	}
 	me := uint64(r.set.num("me", 0)) * 0x9e3779b97f4a7c15
-	for i, h := range homes[:n] {
-		if i > 0 && r.far(h.w) && !r.far(homes[0].w) {
-			break
-		}
-		if rank := mix(h.rank ^ me); best == nil || rank > bestRank {
-			best, bestRank = h.w, rank
-		}
+	slices.SortFunc(homes[:n], func(a, b home) int { return cmp.Compare(mix(b.rank^me), mix(a.rank^me)) })
+	workers := make([]*worker, len(homes))
+	for i, h := range homes {
+		workers[i] = h.w
 	}
-	return best
+	return workers
 }
 
 // mix is the finalizer of splitmix64.
@@ -737,7 +776,7 @@
 		w.errors -= w.errors / 4
 		w.served += p.m.mean() / float64(servedFade)
 		fn.flow += p.m.mean() / float64(servedFade)
-		if w.holds[fn.id] == nil {
+		if now := w.holds[fn.id]; now == nil || now.asked {
 			w.holds[fn.id] = in
 		}
 		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold &&
@@ -784,6 +823,7 @@
 		w.limit = max(r.leastLimit(), min(w.limit*0.9, float64(w.active)))
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
+			r.tokens += r.real // it never began
 		}
 	case ConnectFailed, Reset:
 		w.restart(r.now)
@@ -817,16 +857,16 @@
 	}
 	// the store is shared: loads that take far longer than usual mean fewer at once, everywhere
 	if took > 2.5*fn.load {
-		r.room = max(2, r.room*0.8)
+		r.room = max(r.room0/8, r.room*0.8)
 	} else {
-		r.room = min(r.room+0.5, 2*float64(len(r.list)))
+		r.room = min(r.room+r.room0/16, 2*float64(len(r.list)))
 	}
 	fn.load += (min(took, 3*fn.load) - fn.load) / 4
 }
 
 // loadFailed counts a load error; the third in a row halts loads of the function.
 func (r *Router) loadFailed(fn *function) {
-	r.room = max(2, r.room*0.8)
+	r.room = max(r.room0/8, r.room/2)
 	if fn.errors++; fn.errors < loadErrors {
 		return
 	}
@@ -864,10 +904,15 @@
 	r.now, r.dirty = now, true
 	w, fn := r.workers[id], r.fns[fid]
 	in := w.holds[fid]
-	if in == nil {
+	if in == nil || in.asked {
+		delete(w.holds, fid)
+		if copies > 0 && w.state == Ready {
+			w.holds[fid] = &instance{copies: copies, since: now, lastUse: now}
+		}
 		return
 	}
 	switch {
+	case copies == 0 && !in.ordered: // a late answer to a question
 	case o == OK || copies > 0:
 		in.copies, in.lastUse, in.ordered = max(copies, 1), now, false
 		w.heard = now
