RPCs at work bounded by a share of eight a worker; repeats count as past their soft deadline

Cause: with many front ends each sends each worker little and no limit of its own binds, so workers hold all they can (10 to 13 RPCs) and answer late. May hurt where streams differ much between front ends: the busy ones hold RPCs while others have room.

--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
 	homeShare    = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
+	fleetBusy    = 8        // RPCs of all front ends for each worker, on the mean of the workers
 	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
 	askHomes     = 2        // homes asked at once
 	askLasts     = sec      // for so long we don't ask again
@@ -160,7 +161,7 @@
 	m             *method
 	fn            *function
 	gain          float64
-	at, end       Time
+	at, end, late Time // taken; the client's time is up; an answer earns the late share only
 	calls         []callOut
 	out           int
 	queued, ended bool
@@ -298,7 +299,7 @@
 
 // Take takes an RPC and returns its handle. Cost is the hint's core time, 0 where there is none.
 func (r *Router) Take(now Time, id RPCID, m MethodID, c CustomerID, fid FunctionID, budget Time, cost,
-	memory float64, lanes int, load Time, _ bool) *RPC {
+	memory float64, lanes int, load Time, repeat bool) *RPC {
 	r.now, r.dirty = now, true
 	fn := r.fns[fid]
 	if fn == nil {
@@ -310,7 +311,11 @@
 		r.seen += memory
 	}
 	fn.lanes = max(lanes, 1)
-	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, end: now + budget, gain: r.methods[m].gain}
+	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget}
+	p.gain = p.m.gain
+	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
+		p.late += p.m.soft
+	}
 	if cost > 0 {
 		p.m.cost += (cost - p.m.cost) / 20
 	}
@@ -347,7 +352,7 @@
 // went out; if not, the caller holds it.
 func (p *RPC) place() bool {
 	r := p.r
-	if p.spent() {
+	if p.spent() || r.atWork() >= r.mostAtWork() {
 		return false
 	}
 	var best, joining *worker
@@ -397,6 +402,30 @@
 	return !roomy && !asking && p.load(count)
 }
 
+// atWork counts our RPCs out that don't wait for a load.
+func (r *Router) atWork() int {
+	n := 0
+	for _, p := range r.out {
+		if !p.calls[len(p.calls)-1].in.loading {
+			n++
+		}
+	}
+	return n
+}
+
+// mostAtWork guards the workers against a flood through many front ends, each of which sends each worker
+// little: this front end's share of fleetBusy RPCs for each worker that takes any.
+func (r *Router) mostAtWork() int {
+	well := 0.0
+	for _, w := range r.list {
+		if w.state == Ready && (w.ill == "" || r.allIll) {
+			well++
+		}
+	}
+	all := r.set.num("front-ends", 1)
+	return max(1, int(fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+}
+
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
 
 // order has a copy loaded that no RPC rides on.
@@ -1049,7 +1078,7 @@
 
 // worth is what an answer would earn now: past the soft deadline little, beyond the customer's share little.
 func (p *RPC) worth() float64 {
-	if p.r.now+Time(p.fn.work) > p.at+p.m.soft {
+	if p.r.now+Time(p.fn.work) > p.late {
 		return p.gain * p.m.lateShare
 	}
 	return p.gain
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -15,7 +15,7 @@
 //	set NAME VALUE            a setting, before the first other step
 //	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
 //	at T                      time goes on to T ms; the module's timers come as they fall due
-//	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [times=N]
+//	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [repeat=1] [times=N]
 //	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed]
 //	left RPC                  the client has gone
 //	held W F OUTCOME COPIES   an order's answer
@@ -169,7 +169,7 @@
 			s.names[id] = name
 			s.rpcs[name] = s.router.Take(s.now, id, MethodID(get("m", 0)), CustomerID(get("customer", 0)),
 				FunctionID(get("fn", 1)), span("budget", 3000), float64(span("cost", 0)), get("mem", 100),
-				int(get("lanes", 1)), span("load", 500), false)
+				int(get("lanes", 1)), span("load", 500), get("repeat", 0) > 0)
 		}
 	case "end":
 		closed := f[len(f)-1] == "closed" || f[3] == "ok"
