Ties go by others' RPCs as last told, too; news weighs by the time since the last

Cause: at 66 front ends a front end hears of an instance every few seconds, so news of others' RPCs, taken in by a quarter and fading in a second, moved nothing: one worker had 240 of a function's 246 answers.

--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 	ms  Time = 10
 	sec Time = 1000 * ms
 
+	pause        = 5 * beat // we stood still if no turn came for so long
 	beat         = 20 * ms  // pace of housekeeping; the leave margins below are several beats
 	fnCap        = 5        // the design's cap of instances for a function, raised to recent in flight
 	totalCap     = 100      // the design's cap of all instances, where no memory is told
@@ -80,6 +81,8 @@
 	near             bool    // loads stay in the zone
 	allIll           bool    // health is ignored
 	dirty, wholeList bool
+	beats            bool // housekeeping is due
+	turn             Time // when we last settled
 }
 
 type method struct {
@@ -187,7 +190,7 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
 		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)),
-		born: now, slow: 1, real: 1}
+		born: now, turn: now, slow: 1, real: 1}
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
@@ -325,9 +328,7 @@
 	if r.set.span("functions.load-window", 0) > 0 {
 		r.taken = append(r.within(r.taken, 0), now)
 	}
-	if !p.place() {
-		p.hold()
-	}
+	p.hold()
 	fn.need = max(fn.recent(now), float64(fn.out+fn.held))
 	fn.needAt = now
 	return p
@@ -391,7 +392,7 @@
 		p.send(best)
 		return true
 	}
-	if p.queued && !p.timeToLoad() { // it would end waiting, and the load in vain
+	if p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
 		return false
 	}
 	if joining != nil { // exception: an RPC joins a load this front end began, within its lanes
@@ -450,9 +451,9 @@
 	return in
 }
 
-// before is the design's order of ties among warm instances.
+// before is the design's order of ties among warm instances; active counts others' RPCs as last told.
 func (in *instance) before(other *instance, rng *rand.Rand) bool {
-	c := cmp.Or(in.active-other.active, in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse),
+	c := cmp.Or(in.active+int(math.Round(in.others))-other.active-int(math.Round(other.others)), in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse),
 		cmp.Compare(in.since, other.since))
 	return c < 0 || c == 0 && rng.Intn(2) == 0
 }
@@ -791,9 +792,7 @@
 		p.giveUp()
 		return
 	}
-	if !p.place() {
-		p.hold()
-	}
+	p.hold()
 }
 
 // judge learns from a call-out's end about the worker, the instance and the function.
@@ -813,10 +812,11 @@
 		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
 		in.executed++
 		in.lastUse = r.now
+		weight := max(0.25, 1-math.Exp(-float64(r.now-in.toldAt)/float64(crowdFade)))
 		in.others = in.crowd(r.now)
-		in.others += (max(0, float64(crowd-in.active)) - in.others) / 4
+		in.others += (max(0, float64(crowd-in.active)) - in.others) * weight
 		in.toldAt = r.now
-		if !cold {
+		if !cold && !r.stoodStill() {
 			ratio := float64(took) / fn.work
 			w.slow += (min(ratio, 10) - w.slow) / 8
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
@@ -867,6 +867,9 @@
 
 func (r *Router) leastLimit() float64 { return max(1, math.Floor(keepBusy/r.set.num("front-ends", 1))) }
 
+// stoodStill: after a pause of our own what comes now may have come long ago, and times tell nothing.
+func (r *Router) stoodStill() bool { return r.now-r.turn > pause }
+
 // loaded ends a load, or renews the belief in a warm instance.
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
 	if in.loading {
@@ -884,6 +887,9 @@
 		fn.halted = false
 		r.port.Log(fmt.Sprintf("function %d loads again", fn.id))
 	}
+	if r.stoodStill() {
+		return
+	}
 	// the store is shared: loads that take far longer than usual mean fewer at once, everywhere
 	if took > 2.5*fn.load {
 		r.room = max(r.room0/8, r.room*0.8)
@@ -971,7 +977,7 @@
 	}
 }
 
-// Reminded is the heartbeat.
+// Reminded is the heartbeat; its work is done when all that came with it is known.
 func (r *Router) Reminded(now Time, token uint64) {
 	r.now, r.dirty = now, true
 	if token == listenAgain {
@@ -979,6 +985,11 @@
 		return
 	}
 	r.port.Remind(beat, 0)
+	r.beats = true
+}
+
+// keepHouse fades what is old, looks after the workers and gives up what waited for too long.
+func (r *Router) keepHouse() {
 	for _, w := range r.list {
 		w.served -= w.served * float64(beat) / float64(servedFade)
 	}
@@ -990,7 +1001,7 @@
 	r.weighZone()
 	r.tend()
 	for _, p := range slices.Clone(r.held) {
-		if now >= p.leaveAt() {
+		if r.now >= p.leaveAt() {
 			p.giveUp()
 		}
 	}
@@ -1089,7 +1100,11 @@
 	if r.now = now; !r.dirty {
 		return
 	}
-	r.dirty = false
+	if r.dirty = false; r.beats {
+		r.beats = false
+		r.keepHouse()
+	}
+	r.turn = now
 	queue := slices.Clone(r.held)
 	slices.SortStableFunc(queue, func(a, b *RPC) int {
 		return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.at, b.at))
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -14,6 +14,7 @@
 //
 //	set NAME VALUE            a setting, before the first other step
 //	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
+//	pause MS                  nothing comes for so long; the next step is in the batch of the timers then due
 //	at T                      time goes on to T ms; the module's timers come as they fall due
 //	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [repeat=1] [times=N]
 //	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed]
@@ -101,7 +102,7 @@
 		if err := s.step(f, line); err != nil {
 			t.Fatalf("line %d, %q: %v", i+2, line, err)
 		}
-		if f[0] != "set" && f[0] != "want" && f[0] != "log" {
+		if f[0] != "set" && f[0] != "want" && f[0] != "log" && f[0] != "pause" {
 			s.router.Settle(s.now)
 		}
 	}
@@ -160,6 +161,12 @@
 		s.router.ListEnds(s.now)
 	case "at":
 		s.goTo(Time(number(s.t, f[1])) * ms)
+	case "pause":
+		s.now += Time(number(s.t, f[1])) * ms
+		for _, tm := range s.timers {
+			s.router.Reminded(s.now, tm.token)
+		}
+		s.timers = nil
 	case "take":
 		for i := range int(get("times", 1)) {
 			name, id := f[1], RPCID(len(s.names)+1)
