A fixed share of six RPCs a worker in place of learned limits; homes and ration shorter

Learned limits (down with answers later than a twelfth of the soft deadline, up with earlier) sat at their floor nearly always.

--- a/router/router.go
+++ b/router/router.go
@@ -24,36 +24,34 @@
 	ms  Time = 10
 	sec Time = 1000 * ms
 
-	pause        = 5 * beat // we stood still if no turn came for so long
-	beat         = 20 * ms  // pace of housekeeping; the leave margins below are several beats
-	fnCap        = 5        // the design's cap of instances for a function, raised to recent in flight
-	totalCap     = 100      // the design's cap of all instances, where no memory is told
-	queueCap     = 100      // RPCs held for one function
-	loadErrors   = 3        // load errors in a row that halt a function (design)
-	loadBackMin  = sec      // first backoff of loads, doubling (design: 1 s)
-	loadBackMax  = 10 * sec // last one (design: 10 s)
-	priorLoad    = sec      // a load's time before any was seen or told
-	priorWork    = sec / 10 // an RPC's time on a warm instance before any was seen
-	illBackMin   = sec      // first pause of a worker found ill, doubling
-	illBackMax   = 8 * sec  // last one
-	errorsIll    = 0.5      // smoothed share of errors above which a worker is ill
-	slowIll      = 3.5      // smoothed slowness against peers above which a worker is ill
-	silentWorks  = 6        // an answer later than so many usual times counts towards silence
-	zoneSpare    = 3        // a zone's memory over that of all functions in use, for loads to stay in the zone
-	limitSoft    = 12       // part of the soft deadline within which warm answers let a worker's limit grow
-	servedFade   = 5 * sec  // time over which the work of warm workers is averaged
-	coldStretch  = 1.5      // what warm workers could do over what they are seen to do, at the least
-	coldFew      = 3        // front ends that may send a cold worker one RPC a window, whatever they know
-	crowdFade    = sec      // in this time the news of others' RPCs at an instance falls to a third
-	homeShare    = 3        // of a mean worker's work one function's has at most one in so many, by its homes
-	keepBusy     = 5        // RPCs of all front ends that a worker can always be given at once
-	fleetBusy    = 8        // RPCs of all front ends for each worker, on the mean of the workers
-	needFade     = 3 * sec  // in this time a function's peak of RPCs falls to a third
-	askHomes     = 2        // homes asked at once
-	askLasts     = sec      // for so long we don't ask again
-	askWait      = 3 * beat // for so long an answer is waited for
-	listenAgain  = 1        // token of the timer that asks for the list again
-	startingRoom = 4        // RPCs out at one worker before any answer has taught us better
+	pause       = 5 * beat // we stood still if no turn came for so long
+	beat        = 20 * ms  // pace of housekeeping; the leave margins below are several beats
+	fnCap       = 5        // the design's cap of instances for a function, raised to recent in flight
+	totalCap    = 100      // the design's cap of all instances, where no memory is told
+	queueCap    = 100      // RPCs held for one function
+	loadErrors  = 3        // load errors in a row that halt a function (design)
+	loadBackMin = sec      // first backoff of loads, doubling (design: 1 s)
+	loadBackMax = 10 * sec // last one (design: 10 s)
+	priorLoad   = sec      // a load's time before any was seen or told
+	priorWork   = sec / 10 // an RPC's time on a warm instance before any was seen
+	illBackMin  = sec      // first pause of a worker found ill, doubling
+	illBackMax  = 8 * sec  // last one
+	errorsIll   = 0.5      // smoothed share of errors above which a worker is ill
+	slowIll     = 3.5      // smoothed slowness against peers above which a worker is ill
+	silentWorks = 6        // an answer later than so many usual times counts towards silence
+	zoneSpare   = 3        // a zone's memory over that of all functions in use, for loads to stay in the zone
+	servedFade  = 5 * sec  // time over which the work of warm workers is averaged
+	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
+	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
+	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
+	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
+	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
+	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers
+	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
+	askHomes    = 2        // homes asked at once
+	askLasts    = sec      // for so long we don't ask again
+	askWait     = 3 * beat // for so long an answer is waited for
+	listenAgain = 1        // token of the timer that asks for the list again
 )
 
 // Router is the decision module of one front end.
@@ -134,7 +132,6 @@
 	known, listed     bool // started is a real start, not "long ago"; the list now coming names it
 	holds             map[FunctionID]*instance
 	active            int
-	limit             float64 // RPCs of ours there at once
 	heard, fullUntil  Time    // last answer; no call-out before
 	errors, slow      float64 // smoothed share of errors; smoothed time over the function's usual time
 	ill               string  // symptom, or ""
@@ -228,7 +225,7 @@
 	kind KindID, _ float64) {
 	w := r.workers[id]
 	if w == nil {
-		w = &worker{id: id, started: started, known: started > 0, limit: startingRoom, slow: 1,
+		w = &worker{id: id, started: started, known: started > 0, slow: 1,
 			holds: map[FunctionID]*instance{}}
 		r.workers[id] = w
 		byID := func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) }
@@ -297,7 +294,7 @@
 func (w *worker) restart(at Time) {
 	w.started, w.known = at, true
 	w.holds = map[FunctionID]*instance{}
-	w.sent, w.limit, w.errors, w.slow = nil, startingRoom, 0, 1
+	w.sent, w.errors, w.slow = nil, 0, 1
 }
 
 // Take takes an RPC and returns its handle. Cost is the hint's core time, 0 where there is none.
@@ -325,9 +322,7 @@
 	if int(c) < len(r.customers) && !r.customers[c].within(now) {
 		p.gain *= r.set.num("over-share-gain", 1)
 	}
-	if r.set.span("functions.load-window", 0) > 0 {
-		r.taken = append(r.within(r.taken, 0), now)
-	}
+	r.taken = append(r.taken, now)
 	p.hold()
 	fn.need = max(fn.recent(now), float64(fn.out+fn.held))
 	fn.needAt = now
@@ -353,7 +348,7 @@
 // went out; if not, the caller holds it.
 func (p *RPC) place() bool {
 	r := p.r
-	if p.spent() || r.atWork() >= r.mostAtWork() {
+	if p.spent() || r.flooded() {
 		return false
 	}
 	var best, joining *worker
@@ -371,7 +366,7 @@
 		if !in.hasRoom(p.fn, r.now) {
 			continue
 		}
-		if roomy = true; !w.open(r.now) {
+		if roomy = true; !r.open(w) {
 			continue
 		}
 		if in.loading {
@@ -403,28 +398,22 @@
 	return !roomy && !asking && p.load(count)
 }
 
-// atWork counts our RPCs out that don't wait for a load.
-func (r *Router) atWork() int {
-	n := 0
-	for _, p := range r.out {
-		if !p.calls[len(p.calls)-1].in.loading {
-			n++
-		}
-	}
-	return n
-}
-
-// mostAtWork guards the workers against a flood through many front ends, each of which sends each worker
-// little: this front end's share of fleetBusy RPCs for each worker that takes any.
-func (r *Router) mostAtWork() int {
-	well := 0.0
+// flooded guards the workers against many front ends, each of which sends each worker little: our RPCs out that
+// don't wait for a load have reached our share of fleetBusy for each worker that takes any.
+func (r *Router) flooded() bool {
+	well, all := 0.0, r.set.num("front-ends", 1)
 	for _, w := range r.list {
 		if w.state == Ready && (w.ill == "" || r.allIll) {
 			well++
 		}
 	}
-	all := r.set.num("front-ends", 1)
-	return max(1, int(fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+	most := max(1, int(fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+	for _, p := range r.out {
+		if !p.calls[len(p.calls)-1].in.loading {
+			most--
+		}
+	}
+	return most <= 0
 }
 
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
@@ -432,9 +421,7 @@
 // order has a copy loaded that no RPC rides on.
 func (p *RPC) order(w *worker) {
 	p.begin(w).ordered = true
-	if p.r.set.span("functions.load-window", 0) > 0 {
-		p.r.orders = append(p.r.orders, p.r.now)
-	}
+	p.r.orders = append(p.r.orders, p.r.now)
 	p.r.port.Hold(w.id, p.fn.id, 1)
 }
 
@@ -453,8 +440,8 @@
 
 // before is the design's order of ties among warm instances; active counts others' RPCs as last told.
 func (in *instance) before(other *instance, rng *rand.Rand) bool {
-	c := cmp.Or(in.active+int(math.Round(in.others))-other.active-int(math.Round(other.others)), in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse),
-		cmp.Compare(in.since, other.since))
+	c := cmp.Or(in.active+int(math.Round(in.others))-other.active-int(math.Round(other.others)),
+		in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse), cmp.Compare(in.since, other.since))
 	return c < 0 || c == 0 && rng.Intn(2) == 0
 }
 
@@ -521,20 +508,16 @@
 	return r.tokens >= r.real
 }
 
-// mayOrder keeps rule five: orders within the window, this one included, under the ration.
+// mayOrder keeps rule five: orders within the window, this one included, under the ration. The window is
+// widened by slack: clocks are cut to whole units.
 func (r *Router) mayOrder() bool {
-	if r.set.span("functions.load-window", 0) == 0 {
-		return true
+	window := r.set.span("functions.load-window", 0)
+	within := func(times []Time, slack Time) []Time {
+		return slices.DeleteFunc(times, func(t Time) bool { return t < r.now-window-slack })
 	}
-	r.orders, r.taken = r.within(r.orders, ms), r.within(r.taken, -ms)
+	r.orders, r.taken = within(r.orders, ms), within(r.taken, -ms)
 	ration := r.set.num("functions.load-free", 0) + r.set.num("functions.load-share", 0)*float64(len(r.taken))
-	return float64(len(r.orders)+1) <= ration
-}
-
-// within drops what lies before the ration's window, widened by slack: clocks are cut to whole units.
-func (r *Router) within(times []Time, slack Time) []Time {
-	from := r.now - r.set.span("functions.load-window", 0) - slack
-	return slices.DeleteFunc(times, func(t Time) bool { return t < from })
+	return window == 0 || float64(len(r.orders)+1) <= ration
 }
 
 // homes are the workers for a new load, best first. A rendezvous hash of function and worker ranks them, so
@@ -543,44 +526,40 @@
 // One that is busy or full is passed over.
 func (p *RPC) homes() []*worker {
 	r, fn := p.r, p.fn
-	type home struct {
-		w    *worker
-		rank uint64
-	}
-	var homes []home
+	var homes []*worker
 	mean, served, near, count := 0.0, 0.0, 0, 0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
 	}
 	for _, w := range r.list {
-		if w.state != Ready {
-			continue
+		if w.state == Ready && !r.far(w) {
+			served, near = served+w.served, near+1
 		}
-		rank := mix(uint64(fn.id)*0x9e3779b97f4a7c15^uint64(w.id)) >> 1
-		if !r.far(w) {
-			served, near, rank = served+w.served, near+1, rank|1<<63
-		}
-		if w.holds[fn.id] != nil {
+		if w.state == Ready && w.holds[fn.id] != nil {
 			count++
-		} else if p.allowed(w) && w.open(r.now) && float64(w.active) <= 1.5*mean+1 &&
-			w.util <= 0.95 && w.pinned <= 0.9 {
-			homes = append(homes, home{w, rank})
+		} else if p.allowed(w) && r.open(w) && float64(w.active) <= 1.5*mean+1 && w.util <= 0.95 &&
+			w.pinned <= 0.9 {
+			homes = append(homes, w)
+		}
+	}
+	rank := func(w *worker) uint64 {
+		if r.far(w) {
+			return mix(uint64(fn.id)*spread^uint64(w.id)) >> 1
 		}
+		return mix(uint64(fn.id)*spread^uint64(w.id))>>1 | 1<<63
 	}
-	slices.SortFunc(homes, func(a, b home) int { return cmp.Compare(b.rank, a.rank) })
+	slices.SortFunc(homes, func(a, b *worker) int { return cmp.Compare(rank(b), rank(a)) })
 	n := min(len(homes), max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count))
-	for n > 1 && r.far(homes[n-1].w) {
+	for n > 1 && r.far(homes[n-1]) {
 		n--
 	}
-	me := uint64(r.set.num("me", 0)) * 0x9e3779b97f4a7c15
-	slices.SortFunc(homes[:n], func(a, b home) int { return cmp.Compare(mix(b.rank^me), mix(a.rank^me)) })
-	workers := make([]*worker, len(homes))
-	for i, h := range homes {
-		workers[i] = h.w
-	}
-	return workers
+	me := uint64(r.set.num("me", 0)) * spread
+	slices.SortFunc(homes[:n], func(a, b *worker) int { return cmp.Compare(mix(rank(b)^me), mix(rank(a)^me)) })
+	return homes
 }
 
+const spread = 0x9e3779b97f4a7c15
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -606,17 +585,15 @@
 	return p.mayRepeatAt(w)
 }
 
-// open: the worker is not at its limit, which RPCs that wait for a load don't count against.
-func (w *worker) open(now Time) bool {
-	n := w.active
-	if float64(n) >= w.limit {
-		for _, in := range w.holds {
-			if in.loading {
-				n -= in.active
-			}
+// open: the worker is not full, nor holds our share of RPCs; those that wait for a load don't count.
+func (r *Router) open(w *worker) bool {
+	room := max(2, int(workerBusy/r.set.num("front-ends", 1))) - w.active
+	for _, in := range w.holds {
+		if in.loading {
+			room += in.active
 		}
 	}
-	return now >= w.fullUntil && float64(n) < w.limit
+	return r.now >= w.fullUntil && room > 0
 }
 
 // spent: the RPC has had all the call-outs that the settings allow.
@@ -821,11 +798,6 @@
 			w.slow += (min(ratio, 10) - w.slow) / 8
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
-			if took > p.m.soft/limitSoft {
-				w.limit = max(r.leastLimit(), w.limit*0.9)
-			} else if float64(w.active+2) > w.limit {
-				w.limit += 1 / w.limit
-			}
 		}
 		if w.ill != "" && w.slow <= slowIll*r.slow && w.errors <= errorsIll {
 			r.port.Log(fmt.Sprintf("worker %d well after %s: slow %.1f errors %.2f", w.id, w.ill, w.slow, w.errors))
@@ -849,7 +821,6 @@
 	case Full:
 		w.heard = r.now
 		w.fullUntil = r.now + Time(p.m.work)/2
-		w.limit = max(r.leastLimit(), min(w.limit*0.9, float64(w.active)))
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
 			r.tokens += r.real // it never began
@@ -865,8 +836,6 @@
 	}
 }
 
-func (r *Router) leastLimit() float64 { return max(1, math.Floor(keepBusy/r.set.num("front-ends", 1))) }
-
 // stoodStill: after a pause of our own what comes now may have come long ago, and times tell nothing.
 func (r *Router) stoodStill() bool { return r.now-r.turn > pause }
 
@@ -996,6 +965,7 @@
 	for _, fn := range r.fns {
 		fn.flow -= fn.flow * float64(beat) / float64(servedFade)
 	}
+	r.mayOrder() // drops what lies before its window
 	r.count()
 	r.watchSilence()
 	r.weighZone()
