--- a/router/router.go
+++ b/router/router.go
@@ -3,12 +3,10 @@
 // How it is called: New makes one Router for each front end. Take hands it an RPC and returns the RPC's
 // handle; what happens to that RPC later is a method call on the handle (Ended, Left). The list of workers
 // comes as ListBegins, Listed..., ListEnds; orders and checks are answered by Held and Checked, timers by
-// Reminded. After the events of one moment the caller calls Settle once. The module acts through Port. Port,
-// the ids and the words for outcomes and effects are in port.go. Nothing here reads a clock, does I/O or
-// starts a goroutine; the same events lead to the same actions.
+// Reminded. After the events of one moment the caller calls Settle once. The module acts through Port; Port,
+// the ids and the words are in port.go. The same events lead to the same actions.
 //
-// The ordinary path (docs/design.md) is RPC.place: a warm instance with room, else a load under the caps,
-// else the queue.
+// The ordinary path (docs/design.md) is RPC.place: a warm instance with room, else a load, else the queue.
 package router
 
 import (
@@ -52,35 +50,32 @@
 	askLasts    = sec      // for so long we don't ask again
 	askWait     = 3 * beat // for so long an answer is waited for
 	listenAgain = 1        // token of the timer that asks for the list again
+
+	spread = 0x9e3779b97f4a7c15 // an odd number that spreads ids over all bits
 )
 
 // Router is the decision module of one front end.
 type Router struct {
-	port             Port
-	rng              *rand.Rand
-	now, born        Time
-	set              Settings
-	zone             ZoneID
-	methods          []*method
-	customers        []*customer
-	workers          map[WorkerID]*worker
-	list             []*worker // by id
-	fns              map[FunctionID]*function
-	seen             float64 // memory of one copy of each function
-	held, out        []*RPC  // in order of arrival; with a call-out out
-	orders, taken    []Time  // load orders and RPCs taken within the ration's window
-	pending, total   int     // loads under way; they and all instances
-	room, totalCap   float64 // the caps of both: learned from the store; what the workers' memory holds
-	slow             float64 // median slowness of the workers, 1 at least
-	real             float64 // share of our loads that found no copy of another front end's
-	tokens           float64 // loads that may begin now
-	tokensAt         Time
-	room0            float64 // this front end's share of two loads a worker
-	near             bool    // loads stay in the zone
-	allIll           bool    // health is ignored
-	dirty, wholeList bool
-	beats            bool // housekeeping is due
-	turn             Time // when we last settled
+	port            Port
+	rng             *rand.Rand
+	now, born, turn Time // turn: when we last settled
+	set             Settings
+	zone            ZoneID
+	methods         []*method
+	customers       []*customer
+	workers         map[WorkerID]*worker
+	list            []*worker // by id
+	fns             map[FunctionID]*function
+	seen            float64 // memory of one copy of each function
+	held, out       []*RPC  // in order of arrival; with a call-out out
+	orders, taken   []Time  // load orders and RPCs taken within the ration's window
+	pending, total  int     // loads under way; they and all instances
+	room, totalCap  float64 // the caps of both: learned from the store; what the workers' memory holds
+	room0, tokens   float64 // our share of two loads a worker; loads that may begin now
+	tokensAt        Time
+	slow, real      float64 // median slowness of the workers, 1 at least; share of our loads that found no copy
+	near, allIll    bool    // loads stay in the zone; health is ignored
+	dirty, beats    bool    // settling is due, with housekeeping
 }
 
 type method struct {
@@ -100,11 +95,9 @@
 	lanes      int
 	load, work float64 // usual time of a load, and on a warm instance
 	out, held  int     // RPCs out and held
-	need       float64 // recent peak of their sum
-	flow       float64 // our work for it per unit of time, lately
+	need, flow float64 // recent peak of their sum; our work for it per unit of time, lately
 	needAt     Time
 	errors     int // load errors in a row
-	halted     bool
 	backoff    Time
 	loadNext   Time // no load before
 	askNext    Time // no asking before
@@ -137,20 +130,16 @@
 	ill               string  // symptom, or ""
 	illUntil, illBack Time
 	checking, trial   bool      // a check is out; the next RPC may try it
-	sent              []sending // while cold
+	sent              []callOut // while cold
 	util, pinned      float64   // as last reported
 	served            float64   // work done for us per unit of time, lately
 }
 
-type sending struct {
-	at   Time
-	cost float64
-}
-
 type callOut struct {
 	w                     *worker
 	in                    *instance
 	at                    Time
+	cost                  float64
 	done, retracted, cold bool // cold: it began or joined a load
 }
 
@@ -199,24 +188,20 @@
 		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / s.num("front-ends", 1) / float64(sec)
 		r.customers = append(r.customers, &customer{quota: quota, tokens: quota * float64(sec), at: now})
 	}
-	if s.word("list") == "asked" {
+	if port.Remind(beat, 0); s.word("list") == "asked" {
 		port.Listen()
 	}
-	port.Remind(beat, 0)
 	return r
 }
 
 // ListBegins, Listed and ListEnds bring the list of workers, or its changes.
 func (r *Router) ListBegins(now Time, form ListForm, _ uint64) {
 	r.now, r.dirty = now, true
-	r.wholeList = form == Whole || form == Cached
 	if form == Failed {
 		r.port.Remind(sec, listenAgain)
 	}
-	if r.wholeList {
-		for _, w := range r.list {
-			w.listed = false
-		}
+	for _, w := range r.list {
+		w.listed = form == Changes || form == Failed
 	}
 }
 
@@ -225,29 +210,29 @@
 	kind KindID, _ float64) {
 	w := r.workers[id]
 	if w == nil {
-		w = &worker{id: id, started: started, known: started > 0, slow: 1,
-			holds: map[FunctionID]*instance{}}
-		r.workers[id] = w
-		byID := func(w *worker, id WorkerID) int { return cmp.Compare(w.id, id) }
-		at, _ := slices.BinarySearchFunc(r.list, id, byID)
-		r.list = slices.Insert(r.list, at, w)
+		w = &worker{id: id, started: started, known: started > 0, slow: 1, holds: map[FunctionID]*instance{}}
+		r.workers[id], r.list = w, append(r.list, w)
+		slices.SortFunc(r.list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	} else if started > w.started {
 		w.restart(started)
 		w.ill, w.trial = "", false
 	}
 	w.listed, w.zone, w.cell, w.kind = true, zone, cell, kind
-	if state != Ready && w.state == Ready {
-		w.holds = map[FunctionID]*instance{}
+	w.become(state)
+}
+
+// become takes over a state from the list: what drains or is gone holds nothing for us.
+func (w *worker) become(state Readiness) {
+	if w.state = state; state != Ready {
+		clear(w.holds)
 	}
-	w.state = state
 }
 
 // ListEnds closes the list: what a whole list leaves out is gone.
 func (r *Router) ListEnds(now Time) {
 	for _, w := range r.list {
-		if r.wholeList && !w.listed {
-			w.state = Gone
-			w.holds = map[FunctionID]*instance{}
+		if !w.listed {
+			w.become(Gone)
 		}
 	}
 	r.count()
@@ -262,15 +247,13 @@
 	r.pending, r.total, r.totalCap = 0, 0, 0
 	for _, w := range r.list {
 		for id, in := range w.holds {
-			if in.asked && r.now-in.since >= askWait {
-				delete(w.holds, id)
-			}
+			keep := r.set.span("functions.keep-alive", 10*sec)
 			if in.asked {
-				continue
+				keep = askWait
 			}
 			if in.loading {
 				r.pending++
-			} else if in.active == 0 && r.now-in.lastUse >= r.set.span("functions.keep-alive", 10*sec) {
+			} else if in.active == 0 && r.now-in.lastUse >= keep {
 				delete(w.holds, id)
 				continue
 			}
@@ -285,16 +268,14 @@
 	}
 }
 
-// memory of a worker in MB, 0 where the settings don't tell.
 func (r *Router) memory(w *worker) float64 {
 	return r.set.num("functions.memory."+strconv.Itoa(int(w.kind)), 0)
 }
 
 // restart forgets what stood on a worker that began anew: it is empty and cold.
 func (w *worker) restart(at Time) {
-	w.started, w.known = at, true
-	w.holds = map[FunctionID]*instance{}
-	w.sent, w.errors, w.slow = nil, 0, 1
+	w.started, w.known, w.sent, w.errors, w.slow = at, true, nil, 0, 1
+	clear(w.holds)
 }
 
 // Take takes an RPC and returns its handle. Cost is the hint's core time, 0 where there is none.
@@ -303,10 +284,8 @@
 	r.now, r.dirty = now, true
 	fn := r.fns[fid]
 	if fn == nil {
-		fn = &function{id: fid, load: float64(priorLoad), work: r.methods[m].work, backoff: loadBackMin}
-		if load > 0 {
-			fn.load = float64(load)
-		}
+		fn = &function{id: fid, load: float64(cmp.Or(load, priorLoad)), work: r.methods[m].work,
+			backoff: loadBackMin}
 		r.fns[fid] = fn
 		r.seen += memory
 	}
@@ -324,15 +303,13 @@
 	}
 	r.taken = append(r.taken, now)
 	p.hold()
-	fn.need = max(fn.recent(now), float64(fn.out+fn.held))
-	fn.needAt = now
+	fn.need, fn.needAt = max(fn.recent(now), float64(fn.out+fn.held)), now
 	return p
 }
 
-// within takes one RPC off the customer's share as this front end sees it.
+// within takes one RPC off the customer's share as we see it.
 func (c *customer) within(now Time) bool {
-	c.tokens = min(c.tokens+c.quota*float64(now-c.at), 2*c.quota*float64(sec))
-	c.at = now
+	c.tokens, c.at = min(c.tokens+c.quota*float64(now-c.at), 2*c.quota*float64(sec)), now
 	if c.tokens < 1 {
 		return false
 	}
@@ -340,12 +317,11 @@
 	return true
 }
 
-func (fn *function) recent(now Time) float64 {
-	return fn.need * math.Exp(-float64(now-fn.needAt)/float64(needFade))
-}
+func fade(since, over Time) float64 { return math.Exp(-float64(since) / float64(over)) }
+
+func (fn *function) recent(now Time) float64 { return fn.need * fade(now-fn.needAt, needFade) }
 
-// place is the ordinary path: a warm instance with room, else a load under the caps. It tells whether the RPC
-// went out; if not, the caller holds it.
+// place is the ordinary path: a warm instance with room, else a load. It tells whether the RPC went out.
 func (p *RPC) place() bool {
 	r := p.r
 	if p.spent() || r.flooded() {
@@ -358,12 +334,9 @@
 		if in == nil || !p.allowed(w) {
 			continue
 		}
-		if in.asked {
-			asking = true
-			continue
-		}
+		asking = asking || in.asked
 		count += in.copies
-		if !in.hasRoom(p.fn, r.now) {
+		if in.asked || !in.hasRoom(p.fn, r.now) {
 			continue
 		}
 		if roomy = true; !r.open(w) {
@@ -378,28 +351,24 @@
 			best = w
 		}
 	}
-	if best != nil {
-		if r.far(best) && r.set.is("functions.orders") && count < fnCap && r.now >= p.fn.loadNext {
-			if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
-				p.order(homes[0])
-			}
+	if best != nil && r.far(best) && r.set.is("functions.orders") && count < fnCap && r.now >= p.fn.loadNext {
+		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
+			p.order(homes[0])
 		}
-		p.send(best)
-		return true
 	}
-	if p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
+	if best == nil && p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
 		return false
 	}
-	if joining != nil { // exception: an RPC joins a load this front end began, within its lanes
-		p.send(joining)
+	if best = cmp.Or(best, joining); best != nil { // exception: it joins a load of ours, within its lanes
+		p.send(best)
 		return true
 	}
 	// Exception: lanes stand free at a worker at its limit; another copy would not help.
 	return !roomy && !asking && p.load(count)
 }
 
-// flooded guards the workers against many front ends, each of which sends each worker little: our RPCs out that
-// don't wait for a load have reached our share of fleetBusy for each worker that takes any.
+// flooded guards workers against many front ends that each send little: our RPCs out, loads waited for aside,
+// have reached our share of fleetBusy for each worker that takes any.
 func (r *Router) flooded() bool {
 	well, all := 0.0, r.set.num("front-ends", 1)
 	for _, w := range r.list {
@@ -451,12 +420,10 @@
 }
 
 // crowd is what is left of the last news of other front ends' RPCs there.
-func (in *instance) crowd(now Time) float64 {
-	return in.others * math.Exp(-float64(now-in.toldAt)/float64(crowdFade))
-}
+func (in *instance) crowd(now Time) float64 { return in.others * fade(now-in.toldAt, crowdFade) }
 
-// load starts a load under the caps. Where a warm instance stands busy and orders are allowed, the load is
-// ordered and the RPC waits for whichever comes first; else it goes to the loading worker at once.
+// load starts a load under the caps. Where an instance stands busy and orders are allowed, it is ordered and
+// the RPC waits for whichever comes first; else the RPC goes to the loading worker at once.
 func (p *RPC) load(count int) bool {
 	r, fn := p.r, p.fn
 	need := max(fn.recent(r.now), float64(fn.out+1))
@@ -473,13 +440,11 @@
 	if len(homes) == 0 {
 		return false
 	}
-	w := homes[0]
-	// Exception: where asking is allowed, the first homes are asked for copies that others brought there, and
-	// the RPC waits the moment that this takes: a load less for the store.
+	// Exception: where it may, it first asks the first homes for copies that others brought there.
 	if r.set.is("functions.orders") && r.now >= fn.askNext {
 		fn.askNext = r.now + askLasts
 		for _, w := range homes[:min(askHomes, len(homes))] {
-			w.holds[fn.id] = &instance{asked: true, since: r.now, lastUse: r.now}
+			w.holds[fn.id] = &instance{asked: true, lastUse: r.now}
 			r.port.Hold(w.id, fn.id, 0)
 		}
 		return false
@@ -488,20 +453,20 @@
 		return false
 	}
 	r.tokens -= r.real
-	if fn.halted {
+	if fn.errors >= loadErrors {
 		fn.loadNext = r.now + fn.backoff // one trial load
 	}
 	if count > 0 && r.set.is("functions.orders") && r.mayOrder() {
-		p.order(w)
+		p.order(homes[0])
 		return false
 	}
-	p.begin(w)
-	p.send(w)
+	p.begin(homes[0])
+	p.send(homes[0])
 	return true
 }
 
-// mayLoad paces loads by what the store is seen to take: room at once, each for the time of one, and where
-// room is below one RPC, as many fewer. Only the part of them that no other front end has brought counts.
+// mayLoad paces loads by what the store is seen to take, our share of which may be below one at a time. Only
+// the part of them counts that found no copy of another front end's.
 func (r *Router) mayLoad(fn *function) bool {
 	r.tokens = min(r.tokens+r.room*float64(r.now-r.tokensAt)/fn.load, max(r.room, 1))
 	r.tokensAt = r.now
@@ -521,20 +486,19 @@
 }
 
 // homes are the workers for a new load, best first. A rendezvous hash of function and worker ranks them, so
-// that front ends that share nothing agree: as many as keep the function's work under a part of what a mean
-// worker does are its homes, and each front end has its own order of these; the others come after by rank.
-// One that is busy or full is passed over.
+// that front ends that share nothing agree: the first, as many as keep the function's work under a part of
+// what a mean worker does, come in an order of our own. One that is busy or full is passed over.
 func (p *RPC) homes() []*worker {
 	r, fn := p.r, p.fn
 	var homes []*worker
 	mean, served, near, count := 0.0, 0.0, 0, 0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
-	}
-	for _, w := range r.list {
 		if w.state == Ready && !r.far(w) {
 			served, near = served+w.served, near+1
 		}
+	}
+	for _, w := range r.list {
 		if w.state == Ready && w.holds[fn.id] != nil {
 			count++
 		} else if p.allowed(w) && r.open(w) && float64(w.active) <= 1.5*mean+1 && w.util <= 0.95 &&
@@ -546,7 +510,7 @@
 		if r.far(w) {
 			return mix(uint64(fn.id)*spread^uint64(w.id)) >> 1
 		}
-		return mix(uint64(fn.id)*spread^uint64(w.id))>>1 | 1<<63
+		return mix(uint64(fn.id)*spread^uint64(w.id)) | 1<<63
 	}
 	slices.SortFunc(homes, func(a, b *worker) int { return cmp.Compare(rank(b), rank(a)) })
 	n := min(len(homes), max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count))
@@ -558,8 +522,6 @@
 	return homes
 }
 
-const spread = 0x9e3779b97f4a7c15
-
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -611,15 +573,14 @@
 
 // coldRoom keeps rule four: within any window of the stated length, what all front ends send a cold worker
 // must stay under multiple x capacity. Capacity is the least the settings allow at its age times what warm
-// workers of its kind do for us, dead ones left out; each front end sees its share, so the shares add up. A
-// part of an RPC that is left of a share is a whole one for as many front ends as the parts make up: those
-// whose turn comes first at this worker, which all count alike.
+// workers of its kind do for us; each front end sees its share, so the shares add up. Parts of an RPC are a
+// whole one for as many front ends as they make up: those whose turn, which all count alike, comes first.
 func (r *Router) coldRoom(w *worker, m *method) bool {
 	if !r.cold(w) {
 		return true
 	}
 	window := r.set.span("rules.fall", sec)
-	w.sent = slices.DeleteFunc(w.sent, func(s sending) bool { return s.at < r.now-window-beat })
+	w.sent = slices.DeleteFunc(w.sent, func(s callOut) bool { return s.at < r.now-window-beat })
 	from := r.set.num("rules.cold-from", 0.1)
 	share := from + (1-from)*max(0, float64(r.now-window-w.started))/float64(r.set.span("rules.cold", 20*sec))
 	warm, served := 0.0, 0.0
@@ -631,11 +592,7 @@
 	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * served / max(warm, 1) * float64(window)
 	all := max(1, r.set.num("front-ends", 1))
 	turn := math.Mod(r.set.num("me", 0)+float64(mix(uint64(w.id))%uint64(all)), all)
-	n := math.Floor(budget/m.mean() + 1 - (turn+1)/all)
-	if turn < coldFew {
-		n = max(n, 1)
-	}
-	budget = (n - 0.5) * m.mean()
+	budget = (max(math.Floor(budget/m.mean()+1-(turn+1)/all), min(1, coldFew-turn)) - 0.5) * m.mean()
 	for _, s := range w.sent {
 		budget -= s.cost
 	}
@@ -646,23 +603,17 @@
 	return w.known && r.now < w.started+r.set.span("rules.cold", 0)
 }
 
-func (m *method) mean() float64 {
-	if m.cost > 0 {
-		return m.cost
-	}
-	return m.work
-}
+func (m *method) mean() float64 { return cmp.Or(m.cost, m.work) }
 
 // send starts a call-out.
 func (p *RPC) send(w *worker) {
 	r := p.r
 	p.unhold()
 	in := w.holds[p.fn.id]
+	in.lastUse, w.trial = r.now, false
 	in.active++
-	in.lastUse = r.now
 	w.active++
 	p.fn.out++
-	w.trial = false
 	p.calls = append(p.calls, callOut{w: w, in: in, at: r.now, cold: in.loading})
 	if p.out++; p.out == 1 {
 		r.out = append(r.out, p)
@@ -671,7 +622,7 @@
 		p.risk, p.riskAt = w, r.now
 	}
 	if r.cold(w) {
-		w.sent = append(w.sent, sending{r.now, p.m.mean()})
+		w.sent = append(w.sent, callOut{at: r.now, cost: p.m.mean()})
 	}
 	r.port.Send(p.id, w.id, 0)
 }
@@ -679,23 +630,20 @@
 // hold queues the RPC; a full queue gives up its least gain, latest first.
 func (p *RPC) hold() {
 	r := p.r
-	if r.now >= p.leaveAt() { // a client's last try may come with almost no time left
-		p.giveUp()
-		return
-	}
 	p.queued = true
 	p.fn.held++
 	r.held = append(r.held, p)
-	if p.fn.held <= queueCap {
-		return
-	}
 	least := p
 	for _, q := range r.held {
-		if q.fn == p.fn && q.worth() < least.worth() {
+		if p.fn.held > queueCap && q.fn == p.fn && q.worth() < least.worth() {
 			least = q
 		}
 	}
-	least.giveUp()
+	if r.now >= p.leaveAt() { // a client's last try may come with almost no time left
+		p.giveUp()
+	} else if p.fn.held > queueCap {
+		least.giveUp()
+	}
 }
 
 func (p *RPC) unhold() {
@@ -706,21 +654,16 @@
 	}
 }
 
-// giveUp answers at once: denied where a retry is harmless, else aborted.
+// giveUp answers at once: denied where a retry is harmless, with a time to stay away, else aborted.
 func (p *RPC) giveUp() {
 	p.unhold()
 	p.ended = true
-	mayHave := p.mayHave || p.out > 0
-	if !mayHave || p.m.effect == Idempotent || p.m.effect == Tokened && p.m.group == "all" {
-		p.r.port.Deny(p.id, p.comeBack())
-	} else {
+	if (p.mayHave || p.out > 0) && (p.m.effect == SideEffecting || p.m.effect == Tokened && p.m.group != "all") {
 		p.r.port.Abort(p.id)
+		return
 	}
-}
-
-// comeBack is the time for which the client should stay away, as far as clients heed it.
-func (p *RPC) comeBack() Time {
-	return min(p.r.set.span("may.come-back", 0), max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2))
+	away := max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2)
+	p.r.port.Deny(p.id, min(p.r.set.span("may.come-back", 0), away))
 }
 
 // Left tells that the client is gone: no answer is owed.
@@ -733,8 +676,7 @@
 // Over tells that nothing more can happen to the RPC.
 func (p *RPC) Over() bool { return p.ended && p.out == 0 }
 
-// Ended tells how a call-out ended. Closed: no answer is owed any more. Crowd: RPCs of the same function that
-// the worker held when this one came.
+// Ended tells how a call-out ended. Closed: no answer is owed; crowd: RPCs of its function that it met there.
 func (p *RPC) Ended(now Time, n int, _ WorkerID, o Outcome, closed bool, warmth Warmth, crowd int, took Time,
 	report []float64) {
 	r := p.r
@@ -757,11 +699,7 @@
 	} else if !p.mayHave && p.out == 0 {
 		p.risk = nil
 	}
-	if closed {
-		p.unhold()
-		p.ended = true
-	}
-	if p.ended || p.out > 0 {
+	if p.ended = p.ended || closed; p.ended || p.out > 0 {
 		return
 	}
 	if p.mayHave && p.m.effect == SideEffecting || o == TimedOut && !c.retracted || r.now >= p.leaveAt() ||
@@ -775,9 +713,11 @@
 // judge learns from a call-out's end about the worker, the instance and the function.
 func (p *RPC) judge(c *callOut, o Outcome, warmth Warmth, crowd int, took Time) {
 	r, w, fn, in := p.r, c.w, p.fn, c.in
+	if o == OK || o == Errored || o == Missed || o == Full {
+		w.heard = r.now
+	}
 	switch o {
 	case OK:
-		w.heard = r.now
 		w.errors -= w.errors / 4
 		w.served += p.m.mean() / float64(servedFade)
 		fn.flow += p.m.mean() / float64(servedFade)
@@ -788,14 +728,11 @@
 			float64(took) > fn.work+fn.load/2
 		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
 		in.executed++
-		in.lastUse = r.now
-		weight := max(0.25, 1-math.Exp(-float64(r.now-in.toldAt)/float64(crowdFade)))
-		in.others = in.crowd(r.now)
-		in.others += (max(0, float64(crowd-in.active)) - in.others) * weight
-		in.toldAt = r.now
+		weight := max(0.25, 1-fade(r.now-in.toldAt, crowdFade))
+		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
+		in.lastUse, in.toldAt = r.now, r.now
 		if !cold && !r.stoodStill() {
-			ratio := float64(took) / fn.work
-			w.slow += (min(ratio, 10) - w.slow) / 8
+			w.slow += (min(float64(took)/fn.work, 10) - w.slow) / 8
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
 		}
@@ -806,7 +743,6 @@
 			w.sicken(r, "slowness", w.slow)
 		}
 	case Errored, Missed:
-		w.heard = r.now
 		if warmth == LoadFailed || o == Missed {
 			if in.loading && w.holds[fn.id] == in { // RPCs that joined the load tell of one failure, not of many
 				r.loadFailed(fn)
@@ -819,7 +755,6 @@
 			w.sicken(r, "errors", w.errors)
 		}
 	case Full:
-		w.heard = r.now
 		w.fullUntil = r.now + Time(p.m.work)/2
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
@@ -843,27 +778,23 @@
 func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
 	if in.loading {
 		in.loading, in.since = false, r.now
-		r.real -= r.real / 16
-		if cold {
+		if r.real -= r.real / 16; cold {
 			r.real += 1. / 16
 		}
 	}
 	if !cold {
 		return
 	}
-	fn.errors, fn.backoff = 0, loadBackMin
-	if fn.halted {
-		fn.halted = false
+	if fn.errors >= loadErrors {
 		r.port.Log(fmt.Sprintf("function %d loads again", fn.id))
 	}
+	fn.errors, fn.backoff = 0, loadBackMin
 	if r.stoodStill() {
 		return
 	}
 	// the store is shared: loads that take far longer than usual mean fewer at once, everywhere
-	if took > 2.5*fn.load {
+	if r.room += r.room0 / 16; took > 2.5*fn.load {
 		r.room = max(r.room0/8, r.room*0.8)
-	} else {
-		r.room = min(r.room+r.room0/16, 2*float64(len(r.list)))
 	}
 	fn.load += (min(took, 3*fn.load) - fn.load) / 4
 }
@@ -874,22 +805,18 @@
 	if fn.errors++; fn.errors < loadErrors {
 		return
 	}
-	if !fn.halted {
+	if fn.errors == loadErrors {
 		r.port.Log(fmt.Sprintf("function %d halted: %d load errors", fn.id, fn.errors))
 	}
-	fn.halted, fn.loadNext = true, r.now+fn.backoff
+	fn.loadNext = r.now + fn.backoff
 	fn.backoff = min(2*fn.backoff, loadBackMax)
 }
 
 func (w *worker) report(r *Router, values []float64) {
-	get := func(name string, old float64) float64 {
+	for name, to := range map[string]*float64{"util": &w.util, "pinned": &w.pinned} {
 		if at := int(r.set.num("report.values."+name, -1)); at >= 0 && at < len(values) {
-			return values[at]
+			*to = values[at]
 		}
-		return old
-	}
-	if len(values) > 0 {
-		w.util, w.pinned = get("util", 0), get("pinned", 0)
 	}
 }
 
@@ -938,12 +865,10 @@
 	r.now, r.dirty = now, true
 	w := r.workers[id]
 	w.checking = false
-	if o == OK {
-		w.report(r, report)
-		w.trial = w.ill != ""
-	} else if w.ill != "" {
+	if w.report(r, report); o != OK && w.ill != "" {
 		w.sicken(r, w.ill, 0)
 	}
+	w.trial = o == OK && w.ill != ""
 }
 
 // Reminded is the heartbeat; its work is done when all that came with it is known.
@@ -979,13 +904,11 @@
 
 // tend leads ill workers back: a check, where allowed, then one RPC.
 func (r *Router) tend() {
-	ill, ready := 0, 0
-	var slows []float64
+	ill, slows := 0, []float64{}
 	for _, w := range r.list {
 		if w.state != Ready {
 			continue
 		}
-		ready++
 		slows = append(slows, w.slow)
 		if w.ill == "" {
 			continue
@@ -994,13 +917,12 @@
 		if r.now < w.illUntil || w.trial || w.checking {
 			continue
 		}
-		if r.set.is("may.check") {
-			w.checking = true
+		if w.checking = r.set.is("may.check"); w.checking {
 			r.port.Check(w.id)
-		} else {
-			w.trial = true
 		}
+		w.trial = !w.checking
 	}
+	ready := len(slows)
 	if slices.Sort(slows); ready > 0 {
 		r.slow = max(1, slows[ready/2])
 	}
@@ -1011,8 +933,8 @@
 	}
 }
 
-// weighZone: where crossing zones has a price, and this zone's memory holds all functions seen with room to
-// spare, loads stay in the zone and its instances come first (an exception to one home for all front ends).
+// weighZone: where crossing has a price and this zone's memory holds all functions seen with room to spare,
+// loads stay in the zone and its instances come first (an exception to one home for all front ends).
 func (r *Router) weighZone() {
 	room := 0.0
 	for _, w := range r.list {
