Denied clients are told to stay away for as long as they heed

Cause: under overload clients' repeats, whose answers would be late, are a third of the tries. The come-back time was half a load's time; now the longest that clients heed. May hurt where a denial's cause is over at once.

--- a/router/router.go
+++ b/router/router.go
@@ -654,7 +654,7 @@
 	}
 }
 
-// giveUp answers at once: denied where a retry is harmless, with a time to stay away, else aborted.
+// giveUp answers at once: denied where a retry is harmless, to stay away as long as clients heed, else aborted.
 func (p *RPC) giveUp() {
 	p.unhold()
 	p.ended = true
@@ -662,8 +662,7 @@
 		p.r.port.Abort(p.id)
 		return
 	}
-	away := max(p.fn.loadNext-p.r.now, Time(p.fn.load)/2)
-	p.r.port.Deny(p.id, min(p.r.set.span("may.come-back", 0), away))
+	p.r.port.Deny(p.id, p.r.set.span("may.come-back", 0))
 }
 
 // Left tells that the client is gone: no answer is owed.
