--- a/router/router.go
+++ b/router/router.go
@@ -654,7 +654,7 @@
 	}
 }
 
-// giveUp answers at once: denied where a retry is harmless, to stay away as long as clients heed, else aborted.
+// giveUp answers at once: denied where a retry is harmless, to come back as late as clients heed, else aborted.
 func (p *RPC) giveUp() {
 	p.unhold()
 	p.ended = true
