--- a/router/router.go
+++ b/router/router.go
@@ -185,7 +185,7 @@
 			work: float64(priorWork)})
 	}
 	for i := range int(s.num("customers", 0)) {
-		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / s.num("front-ends", 1) / float64(sec)
+		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / r.frontEnds() / float64(sec)
 		r.customers = append(r.customers, &customer{quota: quota, tokens: quota * float64(sec), at: now})
 	}
 	if port.Remind(beat, 0); s.word("list") == "asked" {
@@ -237,7 +237,7 @@
 	}
 	r.count()
 	if r.room == 0 {
-		r.room = 2 * float64(len(r.list)) / r.set.num("front-ends", 1)
+		r.room = 2 * float64(len(r.list)) / r.frontEnds()
 		r.room0, r.tokens = r.room, max(r.room, 1)
 	}
 }
@@ -370,7 +370,7 @@
 // flooded guards workers against many front ends that each send little: our RPCs out, loads waited for aside,
 // have reached our share of fleetBusy for each worker that takes any.
 func (r *Router) flooded() bool {
-	well, all := 0.0, r.set.num("front-ends", 1)
+	well, all := 0.0, r.frontEnds()
 	for _, w := range r.list {
 		if w.state == Ready && (w.ill == "" || r.allIll) {
 			well++
@@ -385,6 +385,8 @@
 	return most <= 0
 }
 
+func (r *Router) frontEnds() float64 { return max(1, r.set.num("front-ends", 1)) }
+
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
 
 // order has a copy loaded that no RPC rides on.
@@ -549,7 +551,7 @@
 
 // open: the worker is not full, nor holds our share of RPCs; those that wait for a load don't count.
 func (r *Router) open(w *worker) bool {
-	room := max(2, int(workerBusy/r.set.num("front-ends", 1))) - w.active
+	room := max(2, int(workerBusy/r.frontEnds())) - w.active
 	for _, in := range w.holds {
 		if in.loading {
 			room += in.active
@@ -590,7 +592,7 @@
 		}
 	}
 	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * served / max(warm, 1) * float64(window)
-	all := max(1, r.set.num("front-ends", 1))
+	all := r.frontEnds()
 	turn := math.Mod(r.set.num("me", 0)+float64(mix(uint64(w.id))%uint64(all)), all)
 	budget = (max(math.Floor(budget/m.mean()+1-(turn+1)/all), min(1, coldFew-turn)) - 0.5) * m.mean()
 	for _, s := range w.sent {
@@ -654,7 +656,7 @@
 	}
 }
 
-// giveUp answers at once: denied where a retry is harmless, to come back as late as clients heed, else aborted.
+// giveUp answers at once: denied where a retry is harmless, to come back as late as is heeded, else aborted.
 func (p *RPC) giveUp() {
 	p.unhold()
 	p.ended = true
