Slowness weighs by the time since a worker's last answer

Cause: at many front ends a worker answers each of them every few seconds, and an eighth an answer takes a slow or ageing worker half a minute to be left. An answer now weighs up to a quarter where answers are rare. Covers ageing, throttled and crowded hosts. May hurt where two heavy RPCs in a row are all that a front end sees of a worker.

--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,7 @@
 	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers
+	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
 	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
 	askHomes    = 2        // homes asked at once
 	askLasts    = sec      // for so long we don't ask again
@@ -126,6 +127,7 @@
 	holds             map[FunctionID]*instance
 	active            int
 	heard, fullUntil  Time    // last answer; no call-out before
+	timed             Time    // last answer whose time we learned from
 	errors, slow      float64 // smoothed share of errors; smoothed time over the function's usual time
 	ill               string  // symptom, or ""
 	illUntil, illBack Time
@@ -307,7 +309,6 @@
 	return p
 }
 
-// within takes one RPC off the customer's share as we see it.
 func (c *customer) within(now Time) bool {
 	c.tokens, c.at = min(c.tokens+c.quota*float64(now-c.at), 2*c.quota*float64(sec)), now
 	if c.tokens < 1 {
@@ -733,7 +734,8 @@
 		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
 		in.lastUse, in.toldAt = r.now, r.now
 		if !cold && !r.stoodStill() {
-			w.slow += (min(float64(took)/fn.work, 10) - w.slow) / 8
+			weight := min(0.25, max(0.125, 1-fade(r.now-w.timed, slowFade))) // rare answers weigh more
+			w.slow, w.timed = w.slow+(min(float64(took)/fn.work, 10)-w.slow)*weight, r.now
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
 		}
