--- a/router/router.go
+++ b/router/router.go
@@ -364,7 +364,7 @@
 		p.send(best)
 		return true
 	}
-	// Exception: lanes stand free at a worker at its limit; another copy would not help.
+	// Exception: lanes stand free at a worker that holds our share; another copy would not help.
 	return !roomy && !asking && p.load(count)
 }
 
@@ -734,8 +734,8 @@
 		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
 		in.lastUse, in.toldAt = r.now, r.now
 		if !cold && !r.stoodStill() {
-			weight := min(0.25, max(0.125, 1-fade(r.now-w.timed, slowFade))) // rare answers weigh more
-			w.slow, w.timed = w.slow+(min(float64(took)/fn.work, 10)-w.slow)*weight, r.now
+			heed := min(0.25, max(0.125, 1-fade(r.now-w.timed, slowFade))) // rare answers weigh more
+			w.slow, w.timed = w.slow+(min(float64(took)/fn.work, 10)-w.slow)*heed, r.now
 			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
 		}
