Event handling and setting names shared by the bench's adapter and a new engine

The program and the bench must agree on what an event means. The handles of RPCs move from the adapter to internal/core, the names of settings to internal/terms; the engine (internal/engine) turns events into the module's calls without sockets or clock, the loop that drives it is internal/turn.

--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,445 @@
+// Package engine runs one front end: it turns what happens in the world into the module's calls, and what the
+// module decides into what goes out. It knows no socket and no clock: links to workers, clients that are owed
+// answers and the time of a turn come through narrow interfaces, so that the same engine runs on sockets and in a
+// simulation. It decides nothing on its own.
+//
+// An engine belongs to one goroutine. A turn is Begin, then all events of one moment, then End.
+package engine
+
+import (
+	"fmt"
+
+	"mallowlanding/internal/core"
+	"mallowlanding/internal/ident"
+	"mallowlanding/internal/terms"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Client is where an RPC's final answer goes; exactly one of its methods is called, once, unless the client left.
+type Client interface {
+	OK(result []byte)
+	Denied(comeBack router.Time) // 0: no advice when to come back
+	Aborted(cause string)
+}
+
+// Link is the way to one worker. Its methods don't wait; what comes of them is told to the engine in a later turn.
+// A link that breaks ends all that is out on it by itself: see Engine.Answered, Held and Checked.
+type Link interface {
+	Send(id CallOutID, rpc *RPC, left router.Time) // left: how long the RPC's client still waits
+	CallOff(id CallOutID)
+	Hold(id OrderID, function string, copies int)
+	Check(id CheckID)
+}
+
+// Each kind of id is a type of its own.
+type (
+	CallOutID uint64
+	OrderID   uint64
+	CheckID   uint64
+)
+
+// Method is what the settings say of a kind of RPC that the engine needs itself.
+type Method struct {
+	Name     string
+	Effect   string
+	Deadline router.Time
+}
+
+// Function is what the settings tell of a loaded copy of a function.
+type Function struct {
+	Memory float64 // MB of one copy
+	Lanes  int     // RPCs side by side in one copy
+	Load   router.Time
+}
+
+// RPC is the handle of one RPC.
+type RPC struct {
+	e        *Engine
+	id       router.RPCID
+	client   Client
+	end      router.Time
+	deadline turn.Timer
+	calls    []callOut
+	out      int
+	closed   bool   // answered, or its client left
+	cause    string // what the last failed call-out told
+
+	Method   *Method
+	Function string
+	Fn       Function
+	Token    string
+	Customer string
+	Payload  []byte
+}
+
+type callOut struct {
+	worker *worker
+	at     router.Time
+	done   bool
+}
+
+type worker struct {
+	id   router.WorkerID
+	name string
+	link Link
+}
+
+type order struct {
+	worker  *worker
+	fn      router.FunctionID
+	at      router.Time
+	timeOut turn.Timer
+}
+
+type check struct {
+	worker  *worker
+	at      router.Time
+	timeOut turn.Timer
+}
+
+// Counts are an engine's sums since it began.
+type Counts struct {
+	Taken, OK, Denied, Aborted, Left, CallOuts, Orders, Checks, Turns uint64
+	Open                                                              int // taken and not yet answered
+}
+
+// Engine runs one front end.
+type Engine struct {
+	timers  turn.Timers
+	core    *core.Core
+	log     func(text string)
+	now     router.Time
+	margin  router.Time
+	most    int
+	overlap bool
+	orderBy router.Time
+	lastRPC uint32
+	lastID  uint64
+	rpcs    map[router.RPCID]*RPC
+	workers map[router.WorkerID]*worker
+	names   map[router.FunctionID]string
+	orders  map[OrderID]*order
+	checks  map[CheckID]*check
+	later   []func()
+	counts  Counts
+	listen  func()
+}
+
+// Options are what an engine is told besides the module's settings.
+type Options struct {
+	Settings router.Settings
+	Seed     int64
+	Now      router.Time
+	Margin   router.Time       // kept of each RPC's time for the answer's way to the client
+	Log      func(text string) // the module's lines for those on call
+	Listen   func()            // the module asks for changes of the list; nil: they come by themselves
+}
+
+// New starts an engine at o.Now.
+func New(o Options) *Engine {
+	e := &Engine{log: o.Log, now: o.Now, margin: o.Margin, rpcs: map[router.RPCID]*RPC{},
+		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]string{},
+		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen}
+	number := func(name string) float64 { v, _ := o.Settings[name].(float64); return v }
+	e.most = int(number(terms.Path(terms.May, terms.CallOuts)))
+	e.overlap, _ = o.Settings[terms.Path(terms.May, terms.Overlap)].(bool)
+	e.orderBy = router.Time(number(terms.Path(terms.Functions, terms.OrderTimeOut)))
+	e.core = core.New((*port)(e), o.Now, o.Seed, o.Settings)
+	return e
+}
+
+// Begin begins a turn.
+func (e *Engine) Begin(now router.Time) {
+	e.now = now
+	e.counts.Turns++
+	e.passLater()
+}
+
+// End ends a turn: timers that are due, then the module settles once.
+func (e *Engine) End() {
+	e.timers.Fire(e.now)
+	e.core.Settle(e.now)
+}
+
+// Due tells when the engine wants a turn though nothing comes.
+func (e *Engine) Due() (router.Time, bool) {
+	if len(e.later) > 0 {
+		return e.now, true
+	}
+	return e.timers.Due()
+}
+
+// passLater hands on what came of the last turn's own actions: never in the turn that took them.
+func (e *Engine) passLater() {
+	later := e.later
+	e.later = nil
+	for _, f := range later {
+		f()
+	}
+}
+
+// Counts tells the sums so far.
+func (e *Engine) Counts() Counts {
+	c := e.counts
+	for _, p := range e.rpcs {
+		if !p.closed {
+			c.Open++
+		}
+	}
+	return c
+}
+
+// Take hands an RPC to the module. Left is how long its client waits from now on; m is the method's place in the
+// settings, customer the customer's, 0 where there are none. The function's name must not meet another's id: see
+// Meets.
+func (e *Engine) Take(m router.MethodID, method *Method, customer router.CustomerID, function string, fn Function,
+	token string, left router.Time, repeat bool, payload []byte, client Client) *RPC {
+	for e.lastRPC++; e.rpcs[router.RPCID(e.lastRPC)] != nil; e.lastRPC++ {
+	}
+	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
+	e.names[fid] = function
+	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
+		Fn: fn, Token: token, Payload: payload}
+	e.rpcs[id] = p
+	e.counts.Taken++
+	e.timers.Set(&p.deadline, p.end, p.timeUp)
+	e.core.Take(e.now, id, m, customer, fid, p.end-e.now, 0, fn.Memory, fn.Lanes, fn.Load, repeat)
+	e.release(p)
+	return p
+}
+
+// Meets tells the name that already goes by the id of this one, where there is such a name.
+func (e *Engine) Meets(function string) (other string, meets bool) {
+	other, known := e.names[ident.Function(function)]
+	return other, known && other != function
+}
+
+// Left tells that the client is gone: nothing is owed any more. What is out goes on.
+func (p *RPC) Left() {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	p.e.counts.Left++
+	p.e.core.Left(p.e.now, p.id)
+	p.e.release(p)
+}
+
+// timeUp ends what is out when the client's time is up: with no answer in time it may have run.
+func (p *RPC) timeUp(now router.Time) {
+	for n := range p.calls {
+		if c := &p.calls[n]; !c.done {
+			p.ended(n, router.TimedOut, router.Untold, 0, nil, nil)
+		}
+	}
+}
+
+// Answered tells how a call-out ended, as the worker answered or the link saw. Result is the worker's, for OK; the
+// cause in words, else. A call-out that is unknown, over, or of another worker is passed over: it reports false.
+func (e *Engine) Answered(id CallOutID, w router.WorkerID, o router.Outcome, warmth router.Warmth, crowd int,
+	report []float64, result []byte) bool {
+	p, n := e.rpcs[router.RPCID(id>>8)], int(id&0xff)
+	if p == nil || n >= len(p.calls) || p.calls[n].done || p.calls[n].worker.id != w {
+		return false
+	}
+	p.ended(n, o, warmth, crowd, report, result)
+	return true
+}
+
+func (p *RPC) ended(n int, o router.Outcome, warmth router.Warmth, crowd int, report []float64, result []byte) {
+	e, c := p.e, &p.calls[n]
+	c.done = true
+	p.out--
+	if o == router.OK && !p.closed {
+		p.close()
+		e.counts.OK++
+		p.client.OK(result)
+	} else if o != router.OK && len(result) > 0 {
+		p.cause = string(result)
+	}
+	e.core.Ended(e.now, p.id, n, c.worker.id, o, p.closed, warmth, crowd, e.now-c.at, report)
+	e.release(p)
+}
+
+// close marks that nothing is owed any more.
+func (p *RPC) close() { p.closed = true }
+
+// release lets go of an RPC that nothing more can happen to.
+func (e *Engine) release(p *RPC) {
+	if p.closed && p.out == 0 {
+		e.timers.Stop(&p.deadline)
+		delete(e.rpcs, p.id)
+		p.Payload = nil
+	}
+}
+
+// Connect names the link of a worker; nil: there is none, and call-outs there can't be connected.
+func (e *Engine) Connect(name string, link Link) {
+	e.worker(name).link = link
+}
+
+func (e *Engine) worker(name string) *worker {
+	id := ident.Worker(name)
+	w := e.workers[id]
+	if w == nil {
+		w = &worker{id: id, name: name}
+		e.workers[id] = w
+	}
+	return w
+}
+
+// ListBegins, Listed and ListEnds bring the list of workers or its changes; see router.Router.
+func (e *Engine) ListBegins(form router.ListForm, version uint64) {
+	e.core.ListBegins(e.now, form, version)
+}
+
+// Listed is one entry. Started 0: long ago. A name that meets another's id is refused.
+func (e *Engine) Listed(name string, state router.Readiness, started router.Time, zone router.ZoneID,
+	cell router.CellID, kind router.KindID) error {
+	if w := e.workers[ident.Worker(name)]; w != nil && w.name != name {
+		return fmt.Errorf("worker %q has the id of worker %q: rename one of them", name, w.name)
+	}
+	e.core.Listed(e.now, e.worker(name).id, state, started, zone, cell, kind, 1)
+	return nil
+}
+
+// ListEnds closes the list.
+func (e *Engine) ListEnds() { e.core.ListEnds(e.now) }
+
+// Held answers a load order; one that is unknown or over is passed over.
+func (e *Engine) Held(id OrderID, o router.Outcome, copies int) {
+	if or := e.orders[id]; or != nil {
+		delete(e.orders, id)
+		e.timers.Stop(&or.timeOut)
+		e.core.Held(e.now, or.worker.id, or.fn, o, copies, e.now-or.at)
+	}
+}
+
+// Checked answers a check; one that is unknown or over is passed over.
+func (e *Engine) Checked(id CheckID, o router.Outcome, report []float64) {
+	if c := e.checks[id]; c != nil {
+		delete(e.checks, id)
+		e.timers.Stop(&c.timeOut)
+		e.core.Checked(e.now, c.worker.id, o, e.now-c.at, report)
+	}
+}
+
+// port carries out what the module decides.
+type port Engine
+
+// Send implements router.Port.
+func (pt *port) Send(rpc router.RPCID, w router.WorkerID, limit router.Time) {
+	e, p := (*Engine)(pt), pt.rpcs[rpc]
+	if p == nil { // the module's own fault; the RPC is over
+		return
+	}
+	n, wk := len(p.calls), e.workers[w]
+	p.calls = append(p.calls, callOut{worker: wk, at: e.now})
+	p.out++
+	moot := p.closed || e.now >= p.end || n >= e.most || p.out > 1 && !e.overlap
+	id := CallOutID(uint64(rpc)<<8 | uint64(n))
+	switch {
+	case moot:
+		e.later = append(e.later, func() { e.Answered(id, w, router.Moot, router.Untold, 0, nil, nil) })
+	case wk.link == nil:
+		e.later = append(e.later, func() {
+			e.Answered(id, w, router.ConnectFailed, router.Untold, 0, nil, []byte("no link to "+wk.name))
+		})
+	default:
+		e.counts.CallOuts++
+		wk.link.Send(id, p, p.end-e.now)
+		if limit > 0 && e.now+limit < p.end {
+			e.timers.Set(new(turn.Timer), e.now+limit, func(router.Time) {
+				e.Answered(id, w, router.TimedOut, router.Untold, 0, nil, nil)
+			})
+		}
+	}
+}
+
+// Deny implements router.Port.
+func (pt *port) Deny(rpc router.RPCID, comeBack router.Time) {
+	if p := pt.rpcs[rpc]; p != nil && !p.closed {
+		p.close()
+		pt.counts.Denied++
+		p.client.Denied(comeBack)
+		pt.core.Release(rpc)
+		(*Engine)(pt).release(p)
+	}
+}
+
+// Abort implements router.Port.
+func (pt *port) Abort(rpc router.RPCID) {
+	if p := pt.rpcs[rpc]; p != nil && !p.closed {
+		p.close()
+		pt.counts.Aborted++
+		p.client.Aborted(p.cause)
+		pt.core.Release(rpc)
+		(*Engine)(pt).release(p)
+	}
+}
+
+// Retract implements router.Port.
+func (pt *port) Retract(rpc router.RPCID, n int) {
+	e, p := (*Engine)(pt), pt.rpcs[rpc]
+	if p == nil || n >= len(p.calls) || p.calls[n].done {
+		return
+	}
+	c, id := &p.calls[n], CallOutID(uint64(rpc)<<8|uint64(n))
+	if c.worker.link != nil {
+		c.worker.link.CallOff(id)
+	}
+	w := c.worker.id
+	e.later = append(e.later, func() { e.Answered(id, w, router.CalledOff, router.Untold, 0, nil, nil) })
+}
+
+// Remind implements router.Port.
+func (pt *port) Remind(after router.Time, token uint64) {
+	e := (*Engine)(pt)
+	// never in the turn that asks for it
+	e.timers.Set(new(turn.Timer), e.now+max(after, 1), func(now router.Time) { e.core.Reminded(now, token) })
+}
+
+// Check implements router.Port.
+func (pt *port) Check(w router.WorkerID) {
+	e, wk := (*Engine)(pt), pt.workers[w]
+	e.lastID++
+	id := CheckID(e.lastID)
+	c := &check{worker: wk, at: e.now}
+	e.checks[id] = c
+	e.counts.Checks++
+	if wk.link == nil {
+		e.later = append(e.later, func() { e.Checked(id, router.ConnectFailed, nil) })
+		return
+	}
+	e.timers.Set(&c.timeOut, e.now+e.orderBy, func(router.Time) { e.Checked(id, router.TimedOut, nil) })
+	wk.link.Check(id)
+}
+
+// Hold implements router.Port.
+func (pt *port) Hold(w router.WorkerID, fn router.FunctionID, n int) {
+	e, wk := (*Engine)(pt), pt.workers[w]
+	e.lastID++
+	id := OrderID(e.lastID)
+	o := &order{worker: wk, fn: fn, at: e.now}
+	e.orders[id] = o
+	if n > 0 {
+		e.counts.Orders++
+	}
+	if wk.link == nil {
+		e.later = append(e.later, func() { e.Held(id, router.ConnectFailed, 0) })
+		return
+	}
+	e.timers.Set(&o.timeOut, e.now+e.orderBy, func(router.Time) { e.Held(id, router.TimedOut, 0) })
+	wk.link.Hold(id, e.names[fn], n)
+}
+
+// Listen implements router.Port.
+func (pt *port) Listen() {
+	if pt.listen != nil {
+		pt.listen()
+	}
+}
+
+// Log implements router.Port.
+func (pt *port) Log(text string) { pt.log(text) }
--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 
+	"mallowlanding/internal/core"
 	"mallowlanding/router"
 )
 
@@ -37,12 +38,11 @@
 	now       router.Time
 }
 
-// instance is one front end: its router and the handles of its RPCs. It is the router's Port.
+// instance is one front end. It is the router's Port.
 type instance struct {
 	h      *host
 	number uint16
-	router *router.Router
-	rpcs   map[router.RPCID]*router.RPC
+	router *core.Core
 }
 
 // Serve answers batches until the end of input.
@@ -171,9 +171,9 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &instance{h: h, number: number, rpcs: map[router.RPCID]*router.RPC{}}
+	in := &instance{h: h, number: number}
 	h.instances[number] = in
-	in.router = router.New(in, h.now, int64(seed), s)
+	in.router = core.New(in, h.now, int64(seed), s)
 	return in, nil
 }
 
@@ -214,10 +214,8 @@
 			in.router.Checked(h.now, router.WorkerID(w), o, span(delay), report)
 		}
 	case 70:
-		id := r.u32()
-		if rpc := in.rpc(id); rpc != nil && r.err == nil {
-			rpc.Left(h.now)
-			in.release(router.RPCID(id))
+		if id := r.u32(); in != nil && r.err == nil {
+			in.router.Left(h.now, router.RPCID(id))
 		}
 	case 100:
 		r.u16()
@@ -236,13 +234,11 @@
 	id, complete, n, w := r.u32(), r.u8(), r.u8(), r.u32()
 	o, detail, delay := r.outcome(), r.u32(), r.u64()
 	report := r.report()
-	rpc := in.rpc(id)
-	if rpc == nil || r.err != nil {
+	if in == nil || r.err != nil {
 		return
 	}
-	rpc.Ended(h.now, int(n), router.WorkerID(w), o, complete != 0,
+	in.router.Ended(h.now, router.RPCID(id), int(n), router.WorkerID(w), o, complete != 0,
 		router.Warmth(detail%8), int(detail/8), span(delay), report)
-	in.release(router.RPCID(id))
 }
 
 func (h *host) order(in *instance, r *reader) {
@@ -255,11 +251,9 @@
 	if bits&1 == 0 {
 		cost = 0
 	}
-	rpc := in.router.Take(h.now, router.RPCID(id), router.MethodID(method),
+	in.router.Take(h.now, router.RPCID(id), router.MethodID(method),
 		router.CustomerID(customer), router.FunctionID(fn), span(budget), float64(cost)/nsPerUnit,
 		memory, int(lanes), router.Time(load*1e6/nsPerUnit), bits&2 != 0)
-	in.rpcs[router.RPCID(id)] = rpc
-	in.release(router.RPCID(id))
 }
 
 func (h *host) targets(in *instance, r *reader) error {
@@ -290,20 +284,6 @@
 	return nil
 }
 
-func (in *instance) rpc(id uint32) *router.RPC {
-	if in == nil {
-		return nil
-	}
-	return in.rpcs[router.RPCID(id)]
-}
-
-// release lets go of a handle that nothing more can happen to.
-func (in *instance) release(id router.RPCID) {
-	if rpc := in.rpcs[id]; rpc != nil && rpc.Over() {
-		delete(in.rpcs, id)
-	}
-}
-
 func (in *instance) act(code uint8) *writer {
 	out := &in.h.out
 	if in.h.speaker != in {
@@ -330,13 +310,13 @@
 	out := in.act(20)
 	out.u32(uint32(rpc))
 	out.u64(ns(comeBack))
-	in.release(rpc)
+	in.router.Release(rpc)
 }
 
 // Abort implements router.Port.
 func (in *instance) Abort(rpc router.RPCID) {
 	in.act(30).u32(uint32(rpc))
-	in.release(rpc)
+	in.router.Release(rpc)
 }
 
 // Retract implements router.Port.
--- a/internal/pebble/settings.go
+++ b/internal/pebble/settings.go
@@ -3,35 +3,35 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 
+	"mallowlanding/internal/terms"
 	"mallowlanding/router"
 )
 
 // words maps the wire's names to ours. Names that are not here are passed over.
 var words = map[string]string{
-	"balancers": "front-ends", "myNumber": "me", "zone": "zone", "tickNs": "tick",
-	"ceilings": "may", "cancel": "retract", "connectTimeoutNs": "connect-time-out", "mayProbe": "check",
-	"mostTries": "call-outs", "maxRetryAfterNs": "come-back",
-	"secondCopies": "overlap", "maxOpen": "open", "peers": "tell",
-	"costs": "price", "crossZone": "cross-zone", "lateFail": "late", "origin": "fetch", "probe": "check",
-	"waste":     "waste",
-	"customers": "customers", "quotaPerS": "quota", "share": "share",
-	"familyInfo": "functions", "idleLifeNs": "keep-alive", "idlePrice": "memory-price", "loadFloor": "load-free",
-	"loadRatio": "load-share", "loadsWithinNs": "load-window", "mayLoad": "orders", "onMiss": "on-miss",
-	"ramMbByKind": "memory", "tellsWarm": "tells-warm", "notesPeersInHand": "tells-crowd",
-	"answerWithinNs": "order-time-out",
-	"grades":         "methods", "aimNs": "soft-deadline", "aimStretch": "soft-stretch", "deadlineNs": "deadline",
-	"effect": "effect", "group": "group", "lateShare": "late-share", "value": "gain", "windowNs": "window",
-	"overShareWorth": "over-share-gain", "registryMode": "list", "worthBy": "gain-by",
-	"reporting": "report", "names": "values", "how": "how",
-	"rules": "rules", "askEveryNs": "ask-every", "coldFrom": "cold-from", "coldNs": "cold", "drainGraceNs": "drain",
-	"fallMultiple": "fall-multiple", "fallNs": "fall", "graceToAnswerNs": "answer-grace",
+	"balancers": terms.FrontEnds, "myNumber": terms.Me, "zone": terms.Zone, "tickNs": terms.Tick,
+	"ceilings": terms.May, "cancel": terms.Retract, "connectTimeoutNs": terms.ConnectTimeOut, "mayProbe": terms.Check,
+	"mostTries": terms.CallOuts, "maxRetryAfterNs": terms.ComeBack,
+	"secondCopies": terms.Overlap, "maxOpen": terms.Open, "peers": terms.Tell,
+	"costs": terms.Price, "crossZone": terms.CrossZone, "lateFail": terms.Late, "origin": terms.Fetch, "probe": terms.Check,
+	"waste":     terms.Waste,
+	"customers": terms.Customers, "quotaPerS": terms.Quota, "share": terms.Share,
+	"familyInfo": terms.Functions, "idleLifeNs": terms.KeepAlive, "idlePrice": terms.MemoryPrice, "loadFloor": terms.LoadFree,
+	"loadRatio": terms.LoadShare, "loadsWithinNs": terms.LoadWindow, "mayLoad": terms.Orders, "onMiss": terms.OnMiss,
+	"ramMbByKind": terms.Memory, "tellsWarm": terms.TellsWarm, "notesPeersInHand": terms.TellsCrowd,
+	"answerWithinNs": terms.OrderTimeOut,
+	"grades":         terms.Methods, "aimNs": terms.SoftDeadline, "aimStretch": terms.SoftStretch, "deadlineNs": terms.Deadline,
+	"effect": terms.Effect, "group": terms.Group, "lateShare": terms.LateShare, "value": terms.Gain, "windowNs": terms.Window,
+	"overShareWorth": terms.OverShare, "registryMode": terms.List, "worthBy": terms.GainBy,
+	"reporting": terms.Report, "names": terms.Values, "how": terms.How,
+	"rules": terms.Rules, "askEveryNs": terms.AskEvery, "coldFrom": terms.ColdFrom, "coldNs": terms.Cold, "drainGraceNs": terms.Drain,
+	"fallMultiple": terms.FallMultiple, "fallNs": terms.Fall, "graceToAnswerNs": terms.AnswerGrace,
 	// values
 	"retryable": router.Idempotent, "dedup": router.Tokened, "fragile": router.SideEffecting,
-	"automatic": "pushed", "subscribe": "asked", "rif": "in-hand", "q": "waiting", "busy": "util",
-	"lat_ms": "latency", "rate": "served", "fail_rate": "errors", "x0": "pinned", "x1": "loads",
+	"automatic": terms.Pushed, "subscribe": terms.Asked, "rif": terms.InHand, "q": terms.Waiting, "busy": terms.Util,
+	"lat_ms": terms.Latency, "rate": terms.Served, "fail_rate": terms.Errors, "x0": terms.Pinned, "x1": terms.Loads,
 }
 
 func ours(word string) string {
@@ -61,15 +61,15 @@
 	case map[string]any:
 		for name, inner := range v {
 			if word, known := words[name]; known {
-				flatten(out, path+"."+word, name, inner)
+				flatten(out, terms.Path(path, word), name, inner)
 			}
 		}
 	case []any:
 		out[path] = float64(len(v))
 		for i, inner := range v {
-			flatten(out, path+"."+strconv.Itoa(i), name, inner)
+			flatten(out, terms.At(path, i, ""), name, inner)
 			if value, isWord := inner.(string); isWord {
-				out[path+"."+ours(value)] = float64(i)
+				out[terms.Path(path, ours(value))] = float64(i)
 			}
 		}
 	case float64:
--- /dev/null
+++ b/internal/terms/terms.go
@@ -0,0 +1,98 @@
+// Package terms names the settings that the module reads, once for all that hand settings to it: the adapter for
+// the bench translates its wire's words into these, the program its XML.
+package terms
+
+import "strconv"
+
+// Levels and names. A setting's full name is its levels joined by dots; see Path and At.
+const (
+	FrontEnds = "front-ends"
+	Me        = "me"
+	Zone      = "zone"
+	Tick      = "tick"
+	List      = "list"
+	GainBy    = "gain-by"
+	OverShare = "over-share-gain"
+
+	May            = "may"
+	Retract        = "retract"
+	ConnectTimeOut = "connect-time-out"
+	Check          = "check"
+	CallOuts       = "call-outs"
+	ComeBack       = "come-back"
+	Overlap        = "overlap"
+	Open           = "open"
+	Tell           = "tell"
+
+	Price     = "price"
+	CrossZone = "cross-zone"
+	Late      = "late"
+	Fetch     = "fetch"
+	Waste     = "waste"
+
+	Customers = "customers"
+	Quota     = "quota"
+	Share     = "share"
+
+	Functions    = "functions"
+	KeepAlive    = "keep-alive"
+	MemoryPrice  = "memory-price"
+	LoadFree     = "load-free"
+	LoadShare    = "load-share"
+	LoadWindow   = "load-window"
+	Orders       = "orders"
+	OnMiss       = "on-miss"
+	Memory       = "memory"
+	TellsWarm    = "tells-warm"
+	TellsCrowd   = "tells-crowd"
+	OrderTimeOut = "order-time-out"
+
+	Methods      = "methods"
+	SoftDeadline = "soft-deadline"
+	SoftStretch  = "soft-stretch"
+	Deadline     = "deadline"
+	Effect       = "effect"
+	Group        = "group"
+	LateShare    = "late-share"
+	Gain         = "gain"
+	Window       = "window"
+
+	Report = "report"
+	Values = "values"
+	How    = "how"
+
+	Rules        = "rules"
+	AskEvery     = "ask-every"
+	ColdFrom     = "cold-from"
+	Cold         = "cold"
+	Drain        = "drain"
+	FallMultiple = "fall-multiple"
+	Fall         = "fall"
+	AnswerGrace  = "answer-grace"
+)
+
+// Values that are words.
+const (
+	Pushed  = "pushed"
+	Asked   = "asked"
+	InHand  = "in-hand"
+	Waiting = "waiting"
+	Util    = "util"
+	Latency = "latency"
+	Served  = "served"
+	Errors  = "errors"
+	Pinned  = "pinned"
+	Loads   = "loads"
+)
+
+// Path joins two levels.
+func Path(level, name string) string { return level + "." + name }
+
+// At is the name of a list's i-th place, or of a setting there.
+func At(list string, i int, name string) string {
+	at := list + "." + strconv.Itoa(i)
+	if name == "" {
+		return at
+	}
+	return at + "." + name
+}
