--- /dev/null
+++ b/cmd/mallowlanding/main.go
@@ -0,0 +1,242 @@
+// Command mallowlanding runs a front end, the stand-ins that it is tried with, and tools around them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/clients"
+	"mallowlanding/internal/demo"
+	"mallowlanding/internal/gateway"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/rehearse"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/standin"
+)
+
+// Exit codes.
+const (
+	exitFailed  = 1 // it did not go well: a rule broke, an RPC was not ok, a part could not run
+	exitMisused = 2 // the command line or a settings file is wrong
+)
+
+type cli struct {
+	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Least level of the log's lines: ${enum}."`
+	LogForm  string `enum:"text,json" default:"text" help:"Form of the log, which goes to standard error: ${enum}."`
+
+	Serve    serveCmd    `cmd:"" help:"Run a front end until SIGTERM or SIGINT; it then answers what it holds and leaves."`
+	Worker   workerCmd   `cmd:"" help:"Run a stand-in worker."`
+	Roster   rosterCmd   `cmd:"" help:"Run a stand-in roster, with a stand-in store where its settings have one."`
+	Check    checkCmd    `cmd:"" help:"Check settings files and tell what is wrong with them."`
+	Call     callCmd     `cmd:"" help:"Send one RPC and print its result."`
+	Demo     demoCmd     `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
+	Rehearse rehearseCmd `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
+}
+
+// misuse is an error of whoever called.
+type misuse struct{ error }
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, out, errs io.Writer) int {
+	var c cli
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("mallowlanding"), kong.Writers(out, errs),
+		kong.Description("A gateway that runs RPCs on workers which load functions on demand."),
+		kong.Exit(func(code int) { exit = code }), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintln(errs, "mallowlanding:", err)
+		return exitMisused
+	}
+	parsed, err := parser.Parse(args)
+	if exit >= 0 { // help was asked for
+		return exit
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "mallowlanding:", err)
+		fmt.Fprintln(errs, "Try 'mallowlanding --help'.")
+		return exitMisused
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	// interrupted twice: at once
+	go func() {
+		<-ctx.Done()
+		stop()
+	}()
+	if err := parsed.Run(&env{ctx: ctx, out: out, log: c.logger(errs)}); err != nil {
+		fmt.Fprintln(errs, "mallowlanding:", err)
+		if errors.As(err, &misuse{}) {
+			return exitMisused
+		}
+		return exitFailed
+	}
+	return 0
+}
+
+type env struct {
+	ctx context.Context
+	out io.Writer
+	log zerolog.Logger
+}
+
+func (c *cli) logger(errs io.Writer) zerolog.Logger {
+	level, _ := zerolog.ParseLevel(c.LogLevel)
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	zerolog.DurationFieldUnit = time.Millisecond
+	if c.LogForm == "text" {
+		errs = zerolog.ConsoleWriter{Out: errs, NoColor: true, TimeFormat: "15:04:05.000"}
+	}
+	return zerolog.New(errs).Level(level).With().Timestamp().Logger()
+}
+
+type serveCmd struct {
+	Settings string `arg:"" help:"The front end's settings."`
+}
+
+// Run runs a front end.
+func (c *serveCmd) Run(e *env) error {
+	f, err := settings.ReadFrontEnd(c.Settings)
+	if err != nil {
+		return misuse{err}
+	}
+	return gateway.Serve(e.ctx, f, e.log, nil)
+}
+
+type workerCmd struct {
+	Settings string        `arg:"" help:"The worker's settings."`
+	Drain    time.Duration `default:"500ms" help:"How long it goes on after SIGTERM, drained, for front ends that hear late."`
+}
+
+// Run runs a stand-in worker.
+func (c *workerCmd) Run(e *env) error {
+	w, err := settings.ReadWorker(c.Settings)
+	if err != nil {
+		return misuse{err}
+	}
+	return standin.Worker(e.ctx, w, c.Drain, e.log, nil)
+}
+
+type rosterCmd struct {
+	Settings string `arg:"" help:"The roster's settings."`
+}
+
+// Run runs a stand-in roster.
+func (c *rosterCmd) Run(e *env) error {
+	r, err := settings.ReadRoster(c.Settings)
+	if err != nil {
+		return misuse{err}
+	}
+	return standin.Roster(e.ctx, r, e.log, nil)
+}
+
+type checkCmd struct {
+	Settings []string `arg:"" help:"Settings files of any kind."`
+}
+
+// Run checks settings files.
+func (c *checkCmd) Run(e *env) error {
+	var failed error
+	for _, file := range c.Settings {
+		kind, err := settings.Check(file)
+		if err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		fmt.Fprintf(e.out, "%s: a good %s\n", file, kind)
+	}
+	if failed != nil {
+		return misuse{failed}
+	}
+	return nil
+}
+
+type callCmd struct {
+	Socket   string  `required:"" short:"s" help:"The front end's client socket."`
+	Method   string  `arg:"" help:"A method of the settings."`
+	Function string  `arg:"" help:"The function."`
+	Payload  string  `arg:"" optional:"" help:"The payload: any JSON."`
+	Customer string  `help:"The customer, where the settings have customers."`
+	Token    string  `help:"The token, owed by tokened methods."`
+	TimeMs   float64 `help:"How long to wait, in ms; by default the method's deadline." default:"-1"`
+}
+
+// Run sends one RPC.
+func (c *callCmd) Run(e *env) error {
+	p := jsonrpc.AppendText([]byte(`{"function":`), c.Function)
+	for _, f := range [][2]string{{"customer", c.Customer}, {"token", c.Token}} {
+		if f[1] != "" {
+			p = jsonrpc.AppendText(append(jsonrpc.AppendText(append(p, ','), f[0]), ':'), f[1])
+		}
+	}
+	if c.TimeMs >= 0 {
+		p = strconv.AppendFloat(append(p, `,"time_ms":`...), c.TimeMs, 'f', -1, 64)
+	}
+	if c.Payload != "" {
+		if !jsonrpc.Valid([]byte(c.Payload)) {
+			return misuse{fmt.Errorf("payload is not JSON: %.80s", c.Payload)}
+		}
+		p = append(append(p, `,"payload":`...), c.Payload...)
+	}
+	nc, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(e.ctx, "unix", c.Socket)
+	if err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(e.ctx)
+	defer end()
+	caller := jsonrpc.NewCaller(nc, 1<<30)
+	done := make(chan struct{})
+	go func() { defer close(done); _ = caller.Run(ctx) }()
+	a := caller.Call(ctx, c.Method, append(p, '}'))
+	end()
+	<-done
+	switch {
+	case a.Err != nil:
+		return a.Err
+	case a.Code == 0:
+		fmt.Fprintf(e.out, "%s\n", a.Result)
+		return nil
+	}
+	text := fmt.Sprintf("%s (%d)", a.Message, a.Code)
+	if len(a.Data) > 0 {
+		text += " " + string(a.Data)
+	}
+	if a.Code != clients.Denied && a.Code != clients.Aborted {
+		return misuse{errors.New(text)}
+	}
+	return errors.New(text)
+}
+
+type demoCmd struct {
+	Dir string `required:"" name:"dir" short:"d" help:"Folder for sockets, settings and logs; made if it is missing."`
+}
+
+// Run runs the demo.
+func (c *demoCmd) Run(e *env) error { return demo.Run(e.ctx, c.Dir, e.out, e.log) }
+
+type rehearseCmd struct {
+	Scenario string `arg:"" help:"The scenario."`
+	Keep     string `help:"Folder in which sockets, settings and logs stay; by default they go."`
+}
+
+// Run plays a scripted day.
+func (c *rehearseCmd) Run(e *env) error {
+	s, err := settings.ReadScenario(c.Scenario)
+	if err != nil {
+		return misuse{err}
+	}
+	return rehearse.Run(e.ctx, s, c.Keep, e.out, e.log)
+}
--- /dev/null
+++ b/internal/clients/conn.go
@@ -0,0 +1,443 @@
+package clients
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// lookAgain is how often a client that closed its sending side is looked at: is it gone altogether?
+const lookAgain = 20 * time.Millisecond
+
+// conn is one client's connection: a goroutine that reads, one that writes; its RPCs belong to the loop's.
+type conn struct {
+	s       *Server
+	nc      net.Conn
+	dec     jsonrpc.Decoder
+	headers atomic.Bool
+	turns   chan struct{} // room for RPCs that are on their way to the loop
+	batch   *batch        // the one that the reader is in
+
+	mu      sync.Mutex
+	out     []byte // answers not yet taken by the writer
+	writing int    // bytes that it has taken
+	ended   bool   // nothing more is read, or nothing more can be written
+	more    *sync.Cond
+
+	// the loop's
+	open map[*pending]bool
+	gone bool
+}
+
+// pending is one RPC of the connection, or one part of a batch: where its answer goes.
+type pending struct {
+	c     *conn
+	id    jsonrpc.ID // empty: a notification
+	batch *batch
+	rpc   *engine.RPC
+}
+
+// batch gathers answers until all its parts have theirs.
+type batch struct {
+	c    *conn
+	mu   sync.Mutex
+	left int // parts without an answer, and one for the reader
+	out  []byte
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{s: s, nc: nc, turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{}}
+	c.more = sync.NewCond(&c.mu)
+	return c
+}
+
+// serve reads until the client's side ends, and then waits for what is open.
+func (c *conn) serve(ctx context.Context) {
+	written := make(chan struct{})
+	go func() { defer close(written); c.write() }()
+	why := c.read()
+	if errors.Is(why, io.EOF) || errors.Is(why, io.ErrUnexpectedEOF) {
+		c.awaitAnswers(ctx)
+	} else if why != nil && ctx.Err() == nil && !errors.Is(why, net.ErrClosed) && !errors.Is(why, syscall.ECONNRESET) {
+		c.s.o.Log.Info().Err(why).Msg("a client's connection ends")
+		c.say(jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "framing: "+why.Error(), nil))
+		c.awaitAnswers(ctx)
+	}
+	c.s.loop.Post(c.leave)
+	c.mu.Lock()
+	c.ended = true
+	c.more.Broadcast()
+	c.mu.Unlock()
+	<-written
+	c.nc.Close()
+	c.s.mu.Lock()
+	delete(c.s.conns, c)
+	c.s.mu.Unlock()
+}
+
+// read takes values until the stream ends or can't be followed.
+func (c *conn) read() error {
+	r := jsonrpc.NewReader(c.nc, c.s.o.Limits.ValueBytes)
+	for {
+		value, err := r.Next()
+		c.headers.Store(r.Headers())
+		if err == jsonrpc.ErrTooLarge {
+			c.say(jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.InvalidRequest,
+				fmt.Sprintf("a value of more than %d bytes", c.s.o.Limits.ValueBytes), nil))
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		c.dec.Decode(value, c)
+		c.mu.Lock()
+		for len(c.out)+c.writing > c.s.o.Limits.AnswerBytes && !c.ended { // it reads too slowly
+			c.more.Wait()
+		}
+		c.mu.Unlock()
+	}
+}
+
+// awaitAnswers: the client sends no more. It may have closed just that side and still wait for its answers.
+func (c *conn) awaitAnswers(ctx context.Context) {
+	for ctx.Err() == nil && !c.peerGone() {
+		none := make(chan bool, 1)
+		if !c.s.loop.Post(func() { none <- len(c.open) == 0 }) || <-none && c.waiting() == 0 {
+			return
+		}
+		select {
+		case <-time.After(lookAgain):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// peerGone tells whether the client has closed both sides, or the socket is broken.
+func (c *conn) peerGone() bool {
+	raw, err := c.nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd)}}
+		n, err := unix.Poll(fds, 0)
+		gone = err == nil && n > 0 && fds[0].Revents&(unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return gone || err != nil
+}
+
+// leave ends what is open; in a turn.
+func (c *conn) leave() {
+	c.gone = true
+	for p := range c.open {
+		delete(c.open, p)
+		p.rpc.Left()
+	}
+}
+
+func (c *conn) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.out) + c.writing
+}
+
+// say hands a value to the writer.
+func (c *conn) say(value []byte) {
+	c.mu.Lock()
+	if !c.ended {
+		c.out = jsonrpc.AppendFrame(c.out, value, c.headers.Load())
+		c.more.Broadcast()
+	}
+	c.mu.Unlock()
+}
+
+func (c *conn) write() {
+	var spare []byte
+	for {
+		c.mu.Lock()
+		for len(c.out) == 0 && !c.ended {
+			c.more.Wait()
+		}
+		if len(c.out) == 0 {
+			c.mu.Unlock()
+			return
+		}
+		out := c.out
+		c.out, c.writing = spare[:0], len(out)
+		c.mu.Unlock()
+		err := c.writeAll(out)
+		c.mu.Lock()
+		c.writing = 0
+		if err != nil {
+			c.ended, c.out = true, nil
+		}
+		c.more.Broadcast()
+		c.mu.Unlock()
+		if spare = out; cap(spare) > 1<<16 {
+			spare = nil
+		}
+		if err != nil {
+			if errors.Is(err, syscall.ETIMEDOUT) || isTimeOut(err) {
+				c.s.o.Log.Warn().Dur("for", c.s.o.Limits.WriteTimeOut).Msg("a client that reads nothing is cut off")
+			}
+			c.nc.Close() // the reader sees it
+			return
+		}
+	}
+}
+
+func isTimeOut(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// writeAll gives up once nothing was taken for the time-out.
+func (c *conn) writeAll(out []byte) error {
+	for len(out) > 0 {
+		if err := c.nc.SetWriteDeadline(time.Now().Add(c.s.o.Limits.WriteTimeOut)); err != nil {
+			return err
+		}
+		part := out[:min(len(out), 1<<18)]
+		n, err := c.nc.Write(part)
+		if out = out[n:]; err != nil && !(n > 0 && isTimeOut(err)) {
+			return err
+		}
+	}
+	return nil
+}
+
+// BatchBegins implements jsonrpc.Peer.
+func (c *conn) BatchBegins() { c.batch = &batch{c: c, left: 1} }
+
+// BatchEnds implements jsonrpc.Peer.
+func (c *conn) BatchEnds() {
+	b := c.batch
+	c.batch = nil
+	b.add(nil)
+}
+
+// add takes one part's answer, nil for none; the last one has the batch sent.
+func (b *batch) add(answer []byte) {
+	b.mu.Lock()
+	if answer != nil {
+		sep := byte(',')
+		if len(b.out) == 0 {
+			sep = '['
+		}
+		b.out = append(append(b.out, sep), answer...)
+	}
+	b.left--
+	done := b.left == 0
+	b.mu.Unlock()
+	if done && len(b.out) > 0 {
+		b.c.say(append(b.out, ']'))
+	}
+}
+
+// part makes the place for an answer.
+func (c *conn) part(id jsonrpc.ID) *pending {
+	p := &pending{c: c, id: bytes.Clone(id), batch: c.batch}
+	if c.batch != nil {
+		c.batch.mu.Lock()
+		c.batch.left++
+		c.batch.mu.Unlock()
+	}
+	return p
+}
+
+// answer sends what append makes; notifications get none.
+func (p *pending) answer(append func(out []byte, id jsonrpc.ID) []byte) {
+	var value []byte
+	if len(p.id) > 0 {
+		value = append(nil, p.id)
+	}
+	switch {
+	case p.batch != nil:
+		p.batch.add(value)
+	case value != nil:
+		p.c.say(value)
+	}
+}
+
+func (p *pending) fail(code int, message string) {
+	p.answer(func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendError(out, id, code, message, nil) })
+}
+
+// Broken implements jsonrpc.Peer.
+func (c *conn) Broken(id jsonrpc.ID, code int, message string) { c.part(id).fail(code, message) }
+
+// Answered implements jsonrpc.Peer: clients owe no answers.
+func (c *conn) Answered(id jsonrpc.ID, _ []byte, _ int, _ string, _ []byte) {
+	c.part(id).fail(jsonrpc.InvalidRequest, "a response, where nothing was asked")
+}
+
+// params are an RPC's, as the client named them.
+type params struct {
+	function, customer, token string
+	time                      float64 // ms; negative: not told
+	payload                   []byte
+	repeat                    bool
+}
+
+// Asked implements jsonrpc.Peer.
+func (c *conn) Asked(id jsonrpc.ID, method string, raw []byte) {
+	p := c.part(id)
+	m, known := c.s.methods[method]
+	if !known {
+		p.fail(jsonrpc.MethodNotFound, fmt.Sprintf("no method %.80q", method))
+		return
+	}
+	ps, err := readParams(raw)
+	if err == nil {
+		err = c.s.checkParams(&c.s.o.Methods[m], ps)
+	}
+	if err != nil {
+		p.fail(jsonrpc.InvalidParams, err.Error())
+		return
+	}
+	came := time.Now()
+	c.turns <- struct{}{}
+	if !c.s.loop.Post(func() {
+		<-c.turns
+		c.take(p, m, ps, came)
+	}) {
+		<-c.turns
+		p.fail(Denied, "denied: the front end has stopped")
+	}
+}
+
+func readParams(raw []byte) (ps params, err error) {
+	ps.time = -1
+	if len(raw) == 0 || raw[0] != '{' {
+		return ps, errors.New("params must be an object that names them")
+	}
+	seen := map[string]bool{}
+	text := func(to *string, name string, v jsontext.Value) error {
+		s, is := jsonrpc.Text(v)
+		if *to = s; !is {
+			return fmt.Errorf("params: %q must be a string", name)
+		}
+		return nil
+	}
+	err = jsonrpc.Members(raw, func(name []byte, v jsontext.Value) error {
+		n := string(name)
+		if seen[n] {
+			return fmt.Errorf("params: %.80q stands twice", n)
+		}
+		seen[n] = true
+		switch n {
+		case "function":
+			return text(&ps.function, n, v)
+		case "customer":
+			return text(&ps.customer, n, v)
+		case "token":
+			return text(&ps.token, n, v)
+		case "time_ms":
+			t, is := jsonrpc.Number(v)
+			if ps.time = t; !is || t < 0 {
+				return errors.New(`params: "time_ms" must be a number of at least 0`)
+			}
+		case "repeat":
+			if ps.repeat = v.Kind() == 't'; v.Kind() != 't' && v.Kind() != 'f' {
+				return errors.New(`params: "repeat" must be true or false`)
+			}
+		case "payload":
+			ps.payload = bytes.Clone(v)
+		default:
+			return fmt.Errorf("params: unknown name %.80q", n)
+		}
+		return nil
+	})
+	return ps, err
+}
+
+func (s *Server) checkParams(m *engine.Method, ps params) error {
+	_, knownCustomer := s.customers[ps.customer]
+	switch {
+	case ps.function == "":
+		return errors.New(`params: "function" is missing or empty`)
+	case m.Effect == router.Tokened && ps.token == "":
+		return fmt.Errorf(`params: "token" is missing: method %q is tokened`, m.Name)
+	case len(s.customers) > 0 && ps.customer == "":
+		return errors.New(`params: "customer" is missing`)
+	case ps.customer != "" && !knownCustomer:
+		return fmt.Errorf("params: no customer %.80q", ps.customer)
+	}
+	return nil
+}
+
+// take hands the RPC to the engine; in a turn.
+func (c *conn) take(p *pending, m int, ps params, came time.Time) {
+	method := &c.s.o.Methods[m]
+	if c.gone {
+		return
+	}
+	if c.s.stopping {
+		p.deny("denied: this front end is leaving", 0)
+		return
+	}
+	if len(c.open) >= c.s.o.Limits.Open {
+		p.deny(fmt.Sprintf("denied: %d RPCs are open on this connection", len(c.open)), 0)
+		return
+	}
+	if other, meets := c.s.engine.Meets(ps.function); meets {
+		p.fail(jsonrpc.InvalidParams,
+			fmt.Sprintf("params: function %.80q has the id of function %.80q: rename one of them", ps.function, other))
+		return
+	}
+	left := method.Deadline
+	if ps.time >= 0 {
+		left = min(left, router.Time(math.Min(ps.time*10, math.MaxInt32)))
+	}
+	left -= turn.Span(time.Since(came)) // what passed on the way here
+	c.open[p] = true
+	rpc := c.s.engine.Take(router.MethodID(m), method, router.CustomerID(c.s.customers[ps.customer]), ps.function,
+		c.s.o.Function(m, ps.function), ps.token, left, ps.repeat, ps.payload, p)
+	p.rpc = rpc
+}
+
+// OK implements engine.Client.
+func (p *pending) OK(result []byte) {
+	delete(p.c.open, p)
+	p.answer(func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
+}
+
+// Denied implements engine.Client.
+func (p *pending) Denied(comeBack router.Time) {
+	delete(p.c.open, p)
+	p.deny("denied", comeBack)
+}
+
+func (p *pending) deny(message string, comeBack router.Time) {
+	p.answer(func(out []byte, id jsonrpc.ID) []byte { return appendDenied(out, id, message, comeBack) })
+}
+
+// Aborted implements engine.Client.
+func (p *pending) Aborted(cause string) {
+	delete(p.c.open, p)
+	p.answer(func(out []byte, id jsonrpc.ID) []byte {
+		var data []byte
+		if cause != "" {
+			data = append(jsonrpc.AppendText([]byte(`{"cause":`), cause), '}')
+		}
+		return jsonrpc.AppendError(out, id, Aborted, "aborted", data)
+	})
+}
--- /dev/null
+++ b/internal/clients/server.go
@@ -0,0 +1,177 @@
+// Package clients is a front end's side towards its clients: JSON-RPC 2.0 over Unix stream sockets, as
+// docs/protocol.md words it. It hands RPCs to the engine and answers back; it decides nothing about an RPC's path.
+package clients
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Error codes of our own, in the range that JSON-RPC leaves to servers.
+const (
+	Denied  = -32001 // a retry is harmless; data.come_back_ms advises when
+	Aborted = -32002 // it may have run
+)
+
+// Limits bound what clients may ask of one front end.
+type Limits struct {
+	Connections  int           // connections at once
+	Open         int           // RPCs open on one connection
+	ValueBytes   int           // bytes of one JSON value
+	AnswerBytes  int           // bytes of answers that wait for a slow reader before no more is read from it
+	WriteTimeOut time.Duration // a reader that takes nothing for so long is cut off
+}
+
+// Options are a server's settings.
+type Options struct {
+	Limits    Limits
+	Methods   []engine.Method
+	Customers []string // none: RPCs name no customer
+	Function  func(method int, name string) engine.Function
+	Log       zerolog.Logger
+}
+
+// Server takes connections. The last field belongs to the loop's goroutine.
+type Server struct {
+	o         Options
+	loop      *turn.Loop
+	engine    *engine.Engine
+	methods   map[string]int
+	customers map[string]int
+	mu        sync.Mutex
+	conns     map[*conn]bool
+
+	stopping bool
+}
+
+// New makes a server for an engine that loop drives.
+func New(loop *turn.Loop, e *engine.Engine, o Options) *Server {
+	s := &Server{o: o, loop: loop, engine: e, methods: map[string]int{}, customers: map[string]int{},
+		conns: map[*conn]bool{}}
+	for i, m := range o.Methods {
+		s.methods[m.Name] = i
+	}
+	for i, c := range o.Customers {
+		s.customers[c] = i
+	}
+	return s
+}
+
+// Listen makes the socket at path. One that a dead process left is replaced; one that is served, or a file of
+// another kind, is an error.
+func Listen(path string, mode os.FileMode) (net.Listener, error) {
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode()&os.ModeSocket == 0 {
+			return nil, fmt.Errorf("socket %s: a file that is no socket stands there", path)
+		}
+		if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+			c.Close()
+			return nil, fmt.Errorf("socket %s: a live process serves it", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, fmt.Errorf("socket %s: left by a dead process: %w", path, err)
+		}
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, mode); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Serve takes connections until the context ends, and then ends those that it has. Drain comes before.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	var all errgroup.Group
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.nc.Close()
+		}
+	})
+	defer stop()
+	var failed error
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				s.o.Log.Warn().Err(err).Msg("accept")
+				if errors.Is(err, os.ErrDeadlineExceeded) || isTemporary(err) {
+					time.Sleep(10 * time.Millisecond) // out of descriptors: others may close some
+					continue
+				}
+				failed = err
+			}
+			break
+		}
+		c := newConn(s, nc)
+		s.mu.Lock()
+		full := len(s.conns) >= s.o.Limits.Connections
+		if !full {
+			s.conns[c] = true
+		}
+		s.mu.Unlock()
+		if full {
+			s.o.Log.Warn().Int("connections", s.o.Limits.Connections).Msg("a connection is turned away")
+			text := fmt.Sprintf("denied: %d connections are open, no more are taken", s.o.Limits.Connections)
+			_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
+			_, _ = nc.Write(append(jsonrpc.AppendError(nil, jsonrpc.Null, Denied, text, nil), '\n'))
+			nc.Close()
+			continue
+		}
+		all.Go(func() error { c.serve(ctx); return nil })
+		if ctx.Err() != nil { // closed between the context's end and its being listed
+			nc.Close()
+		}
+	}
+	_ = all.Wait()
+	return failed
+}
+
+func isTemporary(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Temporary()
+}
+
+// Drain has RPCs that come from now on denied; it may be called in a turn alone.
+func (s *Server) Drain() { s.stopping = true }
+
+// Flushed tells whether all answers given so far have been written, or can't be any more.
+func (s *Server) Flushed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.waiting() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func appendDenied(out []byte, id jsonrpc.ID, message string, comeBack router.Time) []byte {
+	var data []byte
+	if comeBack > 0 {
+		data = strconv.AppendInt([]byte(`{"come_back_ms":`), int64(comeBack+9)/10, 10)
+		data = append(data, '}')
+	}
+	return jsonrpc.AppendError(out, id, Denied, message, data)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -28,7 +28,7 @@
 type Link interface {
 	Send(id CallOutID, rpc *RPC, left router.Time) // left: how long the RPC's client still waits
 	CallOff(id CallOutID)
-	Hold(id OrderID, function string, copies int)
+	Hold(id OrderID, function string, fn Function, copies int)
 	Check(id CheckID)
 }
 
@@ -73,6 +73,11 @@
 	Payload  []byte
 }
 
+type named struct {
+	name string
+	fn   Function
+}
+
 type callOut struct {
 	worker *worker
 	at     router.Time
@@ -118,7 +123,7 @@
 	lastID  uint64
 	rpcs    map[router.RPCID]*RPC
 	workers map[router.WorkerID]*worker
-	names   map[router.FunctionID]string
+	names   map[router.FunctionID]named
 	orders  map[OrderID]*order
 	checks  map[CheckID]*check
 	later   []func()
@@ -139,7 +144,7 @@
 // New starts an engine at o.Now.
 func New(o Options) *Engine {
 	e := &Engine{log: o.Log, now: o.Now, margin: o.Margin, rpcs: map[router.RPCID]*RPC{},
-		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]string{},
+		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]named{},
 		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen}
 	number := func(name string) float64 { v, _ := o.Settings[name].(float64); return v }
 	e.most = int(number(terms.Path(terms.May, terms.CallOuts)))
@@ -198,7 +203,7 @@
 	for e.lastRPC++; e.rpcs[router.RPCID(e.lastRPC)] != nil; e.lastRPC++ {
 	}
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
-	e.names[fid] = function
+	e.names[fid] = named{function, fn}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
 		Fn: fn, Token: token, Payload: payload}
 	e.rpcs[id] = p
@@ -211,8 +216,8 @@
 
 // Meets tells the name that already goes by the id of this one, where there is such a name.
 func (e *Engine) Meets(function string) (other string, meets bool) {
-	other, known := e.names[ident.Function(function)]
-	return other, known && other != function
+	known, is := e.names[ident.Function(function)]
+	return known.name, is && known.name != function
 }
 
 // Left tells that the client is gone: nothing is owed any more. What is out goes on.
@@ -431,7 +436,7 @@
 		return
 	}
 	e.timers.Set(&o.timeOut, e.now+e.orderBy, func(router.Time) { e.Held(id, router.TimedOut, 0) })
-	wk.link.Hold(id, e.names[fn], n)
+	wk.link.Hold(id, e.names[fn].name, e.names[fn].fn, n)
 }
 
 // Listen implements router.Port.
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,364 @@
+// Package follow keeps a front end's list of workers after the roster's: it watches, tells the engine of changes,
+// acknowledges what the engine was told, and keeps the last list on disk for the next start.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/ident"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/links"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Options are a follower's settings.
+type Options struct {
+	FrontEnd string
+	Socket   string
+	Cache    string // file of the last list; empty: none is kept
+	Zone     func(string) router.ZoneID
+	Cell     func(string) router.CellID
+	Kind     func(string) router.KindID
+	Log      zerolog.Logger
+}
+
+// maxList bounds one list's bytes: some hundred thousand workers.
+const maxList = 64 << 20
+
+// pauses between attempts to reach the roster.
+const (
+	redialMin = 50 * time.Millisecond
+	redialMax = 2 * time.Second
+)
+
+// entry is one worker as last told. It is what the cache file holds.
+type entry struct {
+	Name   string  `json:"name"`
+	Socket string  `json:"socket"`
+	State  string  `json:"state"`
+	Zone   string  `json:"zone,omitempty"`
+	Cell   string  `json:"cell,omitempty"`
+	Kind   string  `json:"kind,omitempty"`
+	Life   int64   `json:"life"`   // names one life of the worker: its start by the roster's clock, ms since 1970
+	AgeMs  float64 `json:"age_ms"` // since that start, as the list was sent; below 0: long ago
+}
+
+type cacheFile struct {
+	SavedUnixMs int64   `json:"saved_unix_ms"`
+	Workers     []entry `json:"workers"`
+}
+
+// life is one life of a worker: when it began, by the loop's clock.
+type life struct {
+	life    int64
+	started router.Time
+}
+
+// Follower follows one roster. Its state belongs to the loop's goroutine.
+type Follower struct {
+	o       Options
+	loop    *turn.Loop
+	engine  *engine.Engine
+	links   *links.Set
+	entries map[string]entry
+	order   []string
+	lives   map[string]life
+	version uint64
+	saves   chan []entry
+}
+
+// New makes a follower; Run starts it.
+func New(loop *turn.Loop, e *engine.Engine, l *links.Set, o Options) *Follower {
+	return &Follower{o: o, loop: loop, engine: e, links: l, entries: map[string]entry{}, lives: map[string]life{},
+		saves: make(chan []entry, 1)}
+}
+
+var states = map[string]router.Readiness{"gone": router.Gone, "ready": router.Ready, "draining": router.Draining}
+
+// Run follows until the context ends. The cached list, if there is one, comes first.
+func (f *Follower) Run(ctx context.Context) error {
+	f.loadCache()
+	pause := redialMin
+	for ctx.Err() == nil {
+		told, err := f.watch(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if told || pause == redialMin {
+			f.o.Log.Warn().Err(err).Msg("roster lost: the last list stands")
+			f.loop.Post(func() {
+				f.engine.ListBegins(router.Failed, f.version)
+				f.engine.ListEnds()
+			})
+		}
+		if told {
+			pause = redialMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, redialMax)
+	}
+	return nil
+}
+
+// watch serves one connection to the roster; told: at least one list came.
+func (f *Follower) watch(ctx context.Context) (told bool, err error) {
+	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", f.o.Socket)
+	if err != nil {
+		return false, err
+	}
+	defer nc.Close()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	params := append(jsonrpc.AppendText([]byte(`{"front_end":`), f.o.FrontEnd), '}')
+	hello := jsonrpc.AppendFrame(nil, jsonrpc.AppendRequest(nil, nil, "roster.watch", params), false)
+	if _, err := nc.Write(hello); err != nil {
+		return false, err
+	}
+	r := jsonrpc.NewReader(nc, maxList)
+	var dec jsonrpc.Decoder
+	p := &peer{f: f, acks: make(chan uint64, 1)}
+	done := make(chan struct{})
+	defer func() { nc.Close(); close(p.acks); <-done }()
+	go func() { defer close(done); acknowledge(nc, p.acks) }()
+	for p.err == nil {
+		value, err := r.Next()
+		if err != nil {
+			return p.told, err
+		}
+		dec.Decode(value, p)
+	}
+	return p.told, p.err
+}
+
+// acknowledge says which version the engine was told of; of several at once the last is enough.
+func acknowledge(nc net.Conn, versions <-chan uint64) {
+	for version := range versions {
+		params := append(strconv.AppendUint([]byte(`{"version":`), version, 10), '}')
+		value := jsonrpc.AppendFrame(nil, jsonrpc.AppendRequest(nil, nil, "roster.told", params), false)
+		if _, err := nc.Write(value); err != nil {
+			nc.Close()
+		}
+	}
+}
+
+type peer struct {
+	f    *Follower
+	acks chan uint64
+	told bool
+	err  error
+}
+
+// BatchBegins implements jsonrpc.Peer.
+func (p *peer) BatchBegins() {}
+
+// BatchEnds implements jsonrpc.Peer.
+func (p *peer) BatchEnds() {}
+
+// Broken implements jsonrpc.Peer.
+func (p *peer) Broken(_ jsonrpc.ID, _ int, message string) {
+	p.err = errors.New("nonsense from the roster: " + message)
+}
+
+// Answered implements jsonrpc.Peer.
+func (p *peer) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
+
+// Asked implements jsonrpc.Peer.
+func (p *peer) Asked(_ jsonrpc.ID, method string, params []byte) {
+	if method != "roster.list" {
+		return
+	}
+	version, whole := 0.0, false
+	var workers []entry
+	err := jsonrpc.Members(params, func(name []byte, v jsontext.Value) (err error) {
+		switch string(name) {
+		case "version":
+			version, _ = jsonrpc.Number(v)
+		case "whole":
+			whole = v.Kind() == 't'
+		case "workers":
+			err = json.Unmarshal(v, &workers)
+		}
+		return err
+	})
+	if err == nil {
+		err = checkList(workers)
+	}
+	if err != nil {
+		p.err = fmt.Errorf("list %v of the roster: %w", version, err)
+		return
+	}
+	p.told = true
+	form := router.Changes
+	if whole {
+		form = router.Whole
+	}
+	applied := make(chan struct{})
+	if !p.f.loop.Post(func() {
+		p.f.apply(form, uint64(version), workers)
+		close(applied)
+	}) {
+		p.err = net.ErrClosed
+		return
+	}
+	<-applied // what came with this version binds from now on
+	p.acks <- uint64(version)
+}
+
+func checkList(workers []entry) error {
+	names := make([]string, len(workers))
+	for i, w := range workers {
+		if names[i] = w.Name; w.Name == "" || w.Socket == "" {
+			return fmt.Errorf("worker %d has no name or no socket", i)
+		}
+		if _, known := states[w.State]; !known {
+			return fmt.Errorf("worker %q: unknown state %.40q", w.Name, w.State)
+		}
+	}
+	return ident.Distinct(names, ident.Worker)
+}
+
+// apply brings a list to the engine; in a turn.
+func (f *Follower) apply(form router.ListForm, version uint64, workers []entry) {
+	f.version = version
+	f.engine.ListBegins(form, version)
+	named := map[string]bool{}
+	for _, w := range workers {
+		named[w.Name] = true
+		l := f.lives[w.Name]
+		if l.life != w.Life {
+			l = life{life: w.Life}
+			if now := f.loop.Now(); w.AgeMs >= 0 && w.AgeMs*10 < float64(now) {
+				l.started = now - router.Time(w.AgeMs*10)
+			}
+			f.lives[w.Name] = l
+		}
+		if err := f.engine.Listed(w.Name, states[w.State], l.started, f.o.Zone(w.Zone), f.o.Cell(w.Cell),
+			f.o.Kind(w.Kind)); err != nil {
+			f.o.Log.Error().Err(err).Msg("a worker is left out")
+			continue
+		}
+		if _, known := f.entries[w.Name]; !known {
+			f.order = append(f.order, w.Name)
+		}
+		f.entries[w.Name] = w
+		if w.State == "gone" {
+			f.links.Unwant(w.Name)
+		} else {
+			f.links.Want(w.Name, w.Socket, ident.Worker(w.Name))
+		}
+	}
+	if form == router.Whole {
+		for _, name := range f.order {
+			if e := f.entries[name]; !named[name] && e.State != "gone" {
+				e.State = "gone"
+				f.entries[name] = e
+				f.links.Unwant(name)
+			}
+		}
+	}
+	f.engine.ListEnds()
+	f.o.Log.Debug().Uint64("version", version).Int("entries", len(workers)).Msg("list of workers")
+	f.save()
+}
+
+// save hands the list to be written; only the latest is.
+func (f *Follower) save() {
+	if f.o.Cache == "" {
+		return
+	}
+	list := make([]entry, 0, len(f.order))
+	now := f.loop.Now()
+	for _, name := range f.order {
+		e := f.entries[name]
+		if e.State == "gone" {
+			continue
+		}
+		if started := f.lives[name].started; started > 0 {
+			e.AgeMs = float64(now-started) / 10
+		}
+		list = append(list, e)
+	}
+	select {
+	case <-f.saves:
+	default:
+	}
+	f.saves <- list
+}
+
+// Keep writes the lists that come to the cache file until the context ends.
+func (f *Follower) Keep(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case list := <-f.saves:
+			if err := f.writeCache(list); err != nil {
+				f.o.Log.Warn().Err(err).Msg("list not kept")
+			}
+		}
+	}
+}
+
+func (f *Follower) writeCache(list []entry) error {
+	text, err := json.Marshal(cacheFile{SavedUnixMs: time.Now().UnixMilli(), Workers: list})
+	if err != nil {
+		return err
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(f.o.Cache), filepath.Base(f.o.Cache)+".*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name())
+	_, err = tmp.Write(text)
+	if err2 := tmp.Close(); err == nil {
+		err = err2
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(tmp.Name(), f.o.Cache)
+}
+
+func (f *Follower) loadCache() {
+	if f.o.Cache == "" {
+		return
+	}
+	text, err := os.ReadFile(f.o.Cache)
+	if errors.Is(err, os.ErrNotExist) {
+		return
+	}
+	var c cacheFile
+	if err == nil {
+		err = json.Unmarshal(text, &c)
+	}
+	if err == nil {
+		err = checkList(c.Workers)
+	}
+	if err != nil {
+		f.o.Log.Warn().Err(err).Str("file", f.o.Cache).Msg("the kept list is not used")
+		return
+	}
+	since := max(0, float64(time.Now().UnixMilli()-c.SavedUnixMs))
+	for i := range c.Workers {
+		if c.Workers[i].AgeMs >= 0 {
+			c.Workers[i].AgeMs += since
+		}
+	}
+	f.loop.Post(func() { f.apply(router.Cached, 0, c.Workers) })
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,125 @@
+// Package gateway puts a front end together: engine and loop, clients, links to workers, and the followed list.
+package gateway
+
+import (
+	"context"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/clients"
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/follow"
+	"mallowlanding/internal/links"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/turn"
+)
+
+// look is how often a leaving front end looks whether all is answered.
+const look = 5 * time.Millisecond
+
+// Serve runs a front end until the context ends, and then takes no more RPCs, answers those that it holds, and
+// leaves: within the settings' time after the end. Ready is called once RPCs are taken.
+func Serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, ready func()) error {
+	log = log.With().Str("front_end", f.Name).Logger()
+	mode, err := strconv.ParseUint(f.Clients.Mode, 8, 32)
+	if err != nil {
+		return f.Clients.Errorf("mode: %v", err)
+	}
+	listener, err := clients.Listen(f.Clients.Socket, os.FileMode(mode))
+	if err != nil {
+		return err
+	}
+	return serve(ctx, f, log, listener, ready)
+}
+
+func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener net.Listener, ready func()) error {
+	loop := turn.NewLoop()
+	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
+		Log: func(text string) { log.Info().Str("from", "module").Msg(text) }})
+
+	// parts end in turn: first the clients' side, once all is answered, then the rest, last the loop
+	rest, endRest := context.WithCancel(context.Background())
+	defer endRest()
+	front, endFront := context.WithCancel(context.Background())
+	defer endFront()
+	loopCtx, endLoop := context.WithCancel(context.Background())
+	defer endLoop()
+
+	ls := links.New(rest, loop, e, links.Options{FrontEnd: f.Name,
+		ConnectTimeOut: turn.Duration(f.Service.CallOuts.ConnectTimeOut), ValueBytes: f.Workers.ValueBytes,
+		SendBytes: f.Workers.SendBytes, RedialMin: turn.Duration(f.Workers.RedialMin),
+		RedialMax: turn.Duration(f.Workers.RedialMax), Log: log})
+	fo := follow.New(loop, e, ls, follow.Options{FrontEnd: f.Name, Socket: f.Roster.Socket, Cache: f.Roster.Cache,
+		Zone: f.Service.ZoneID, Cell: f.Service.CellID, Kind: f.Service.KindID, Log: log})
+	customers := make([]string, len(f.Service.Customers))
+	for i, c := range f.Service.Customers {
+		customers[i] = c.Name
+	}
+	srv := clients.New(loop, e, clients.Options{
+		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
+			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
+			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
+		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(), Log: log})
+
+	var loopGroup, restGroup, frontGroup errgroup.Group
+	loopGroup.Go(func() error { loop.Run(loopCtx, e); return nil })
+	restGroup.Go(func() error { return fo.Run(rest) })
+	restGroup.Go(func() error { return fo.Keep(rest) })
+	failed := make(chan error, 1)
+	frontGroup.Go(func() error {
+		err := srv.Serve(front, listener)
+		if err != nil {
+			failed <- err
+		}
+		return err
+	})
+	log.Info().Str("socket", f.Clients.Socket).Int("number", f.Number).Int("of", f.Of).Msg("front end takes RPCs")
+	if ready != nil {
+		ready()
+	}
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	began := time.Now()
+	listener.Close()
+	within := turn.Duration(f.Stop.Within)
+	deadline := time.After(within)
+	open := make(chan int, 1)
+	left := -1
+drain:
+	for {
+		loop.Post(func() {
+			srv.Drain()
+			open <- e.Counts().Open
+		})
+		if left = <-open; left == 0 && srv.Flushed() {
+			break
+		}
+		select {
+		case <-deadline:
+			break drain
+		case <-time.After(look):
+		}
+	}
+	counts := make(chan engine.Counts, 1)
+	loop.Post(func() { counts <- e.Counts() })
+	c := <-counts
+	endFront()
+	_ = frontGroup.Wait()
+	endRest()
+	_ = restGroup.Wait()
+	ls.Wait()
+	endLoop()
+	_ = loopGroup.Wait()
+	log.Info().Int("unanswered", left).Dur("after", time.Since(began)).Uint64("taken", c.Taken).Uint64("ok", c.OK).
+		Uint64("denied", c.Denied).Uint64("aborted", c.Aborted).Uint64("left", c.Left).Msg("front end has left")
+	return err
+}
--- a/internal/jsonrpc/codec.go
+++ b/internal/jsonrpc/codec.go
@@ -49,23 +49,15 @@
 
 // Decode tells p what one value holds.
 func (d *Decoder) Decode(value []byte, p Peer) {
-	d.in.Reset()
-	d.in.Write(value)
-	d.dec.Reset(&d.in, options...)
-	if d.dec.PeekKind() != '[' {
-		v, err := d.whole()
-		if err != nil {
-			p.Broken(Null, ParseError, "not JSON: "+reason(err))
-			return
-		}
-		d.one(v, p)
-		return
-	}
-	v, err := d.whole()
+	v, err := d.whole(value)
 	if err != nil {
 		p.Broken(Null, ParseError, "not JSON: "+reason(err))
 		return
 	}
+	if v.Kind() != '[' {
+		d.one(v, p)
+		return
+	}
 	parts, err := elements(v)
 	if err != nil {
 		p.Broken(Null, ParseError, "not JSON: "+reason(err))
@@ -83,13 +75,15 @@
 }
 
 // whole reads the one value that there must be.
-func (d *Decoder) whole() (jsontext.Value, error) {
+func (d *Decoder) whole(value []byte) (jsontext.Value, error) {
+	d.in = *bytes.NewBuffer(value)
+	d.dec.Reset(&d.in, options...)
 	v, err := d.dec.ReadValue()
 	if err != nil {
 		return nil, err
 	}
 	at := d.dec.InputOffset()
-	if rest := bytes.TrimLeft(d.in.Bytes()[min(int(at), d.in.Len()):], " \t\r\n"); len(rest) > 0 {
+	if rest := bytes.TrimLeft(value[at:], " \t\r\n"); len(rest) > 0 {
 		return nil, fmt.Errorf("more after the value, at byte %d", at)
 	}
 	return v, nil
@@ -340,3 +334,6 @@
 	n, err := strconv.ParseUint(string(id), 10, 64)
 	return n, err == nil
 }
+
+// Valid tells whether text is one JSON value.
+func Valid(text []byte) bool { return jsontext.Value(text).IsValid(options...) }
--- /dev/null
+++ b/internal/links/link.go
@@ -0,0 +1,506 @@
+// Package links is a front end's side towards its workers: one connection to each, JSON-RPC 2.0 both ways, as
+// docs/protocol.md words it. A link tells the engine how each call-out ended, and of one that it could not deliver,
+// whether that proves that it never ran: a call-out none of whose bytes was given to the socket never ran; one of
+// which a byte was may have.
+package links
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Error codes of workers' answers. All but Failed and CalledOff prove that the RPC never ran.
+const (
+	Full      = -32010 // not taken: no place, no memory, or the worker drains
+	Missed    = -32011 // not loaded there, or its load failed, before it ran
+	Failed    = -32012 // it ran, or began to, and failed
+	CalledOff = -32013 // called off; it may have run
+	LoadError = -32014 // a load order's load failed
+)
+
+// Version is the protocol's, as client.ready states it.
+const Version = 1
+
+// Options are the settings of all links of a front end.
+type Options struct {
+	FrontEnd       string
+	ConnectTimeOut time.Duration // a worker that has not said client.ready by then is out of reach
+	ValueBytes     int           // bytes of one JSON value from a worker
+	SendBytes      int           // bytes that wait for a worker that reads slowly; call-outs beyond are not taken
+	RedialMin      time.Duration // first pause before a new connection, doubling
+	RedialMax      time.Duration // last one
+	Log            zerolog.Logger
+}
+
+// Set has a front end's links. All of its methods are for turns of the loop alone, but Run.
+type Set struct {
+	o      Options
+	loop   *turn.Loop
+	engine *engine.Engine
+	links  map[string]*Link
+	group  errgroup.Group
+	ctx    context.Context
+}
+
+// New makes a set whose links live until the context ends.
+func New(ctx context.Context, loop *turn.Loop, e *engine.Engine, o Options) *Set {
+	return &Set{o: o, loop: loop, engine: e, links: map[string]*Link{}, ctx: ctx}
+}
+
+// Wait returns once all links' goroutines have ended, after the context's end.
+func (s *Set) Wait() { _ = s.group.Wait() }
+
+// Want has a link to the worker kept up; id is the worker's at the engine.
+func (s *Set) Want(name, socket string, id router.WorkerID) {
+	l := s.links[name]
+	if l != nil && l.socket == socket && l.ctx.Err() == nil {
+		l.wanted = true
+		return
+	}
+	if l != nil {
+		l.cancel()
+	}
+	l = &Link{s: s, name: name, socket: socket, id: id, wanted: true, sent: map[string]flight{}}
+	l.ctx, l.cancel = context.WithCancel(s.ctx)
+	s.links[name] = l
+	s.engine.Connect(name, l)
+	s.group.Go(func() error { l.run(); return nil })
+}
+
+// Unwant lets go of the link once nothing is out on it.
+func (s *Set) Unwant(name string) {
+	if l := s.links[name]; l != nil {
+		l.wanted = false
+		l.retire()
+	}
+}
+
+// flight is something out on a link: where its message begins in the stream, and who is told how it ended.
+type flight struct {
+	at     uint64
+	ended  func(o router.Outcome, cause string)
+	answer func(result []byte, code int, message string, data []byte)
+}
+
+// Link is the way to one worker.
+type Link struct {
+	s            *Set
+	name, socket string
+	id           router.WorkerID
+	ctx          context.Context
+	cancel       context.CancelFunc
+
+	// the loop's
+	wanted bool
+	up     *stream           // nil: there is no connection on which the worker is ready
+	sent   map[string]flight // out on the present connection, by id
+	held   []*heldAsk        // sent once it is up; each expires
+}
+
+// stream is what goes out on one connection; nothing handed to it ever goes out on another.
+type stream struct {
+	total uint64 // the loop's: bytes handed to the writer
+
+	mu      sync.Mutex
+	out     []byte
+	ended   bool
+	more    *sync.Cond
+	written uint64 // bytes that the socket took; read once the writer has ended
+}
+
+type heldAsk struct{ ask, expire func() }
+
+// retire ends an unwanted link with nothing out.
+func (l *Link) retire() {
+	if !l.wanted && len(l.sent) == 0 && len(l.held) == 0 {
+		l.cancel()
+	}
+}
+
+// Send implements engine.Link.
+func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+	b := append(make([]byte, 0, 256+len(p.Payload)), `{"method":`...)
+	b = jsonrpc.AppendText(b, p.Method.Name)
+	b = jsonrpc.AppendText(append(b, `,"function":`...), p.Function)
+	if p.Token != "" {
+		b = jsonrpc.AppendText(append(b, `,"token":`...), p.Token)
+	}
+	b = strconv.AppendFloat(append(b, `,"time_ms":`...), float64(left)/10, 'f', 1, 64)
+	b = appendFunction(b, p.Fn)
+	if len(p.Payload) > 0 {
+		b = append(append(b, `,"payload":`...), p.Payload...)
+	}
+	b = append(b, '}')
+	l.ask(string(jsonrpc.NumberID(uint64(id))), "host.request", b, flight{
+		ended: func(o router.Outcome, cause string) {
+			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause))
+		},
+		answer: func(result []byte, code int, message string, data []byte) {
+			l.answered(id, result, code, message, data)
+		},
+	})
+}
+
+func appendFunction(b []byte, fn engine.Function) []byte {
+	b = strconv.AppendFloat(append(b, `,"memory_mb":`...), fn.Memory, 'f', -1, 64)
+	b = strconv.AppendInt(append(b, `,"lanes":`...), int64(fn.Lanes), 10)
+	return strconv.AppendFloat(append(b, `,"load_ms":`...), float64(fn.Load)/10, 'f', -1, 64)
+}
+
+// CallOff implements engine.Link.
+func (l *Link) CallOff(id engine.CallOutID) {
+	params := append(strconv.AppendUint([]byte(`{"id":`), uint64(id), 10), '}')
+	if l.up != nil {
+		l.tell("host.call_off", params)
+	}
+}
+
+// Hold implements engine.Link.
+func (l *Link) Hold(id engine.OrderID, function string, fn engine.Function, copies int) {
+	b := appendFunction(jsonrpc.AppendText([]byte(`{"function":`), function), fn)
+	b = append(strconv.AppendInt(append(b, `,"copies":`...), int64(copies), 10), '}')
+	l.ask(`"o`+strconv.FormatUint(uint64(id), 10)+`"`, "host.hold", b, flight{
+		ended: func(o router.Outcome, _ string) { l.s.engine.Held(id, o, 0) },
+		answer: func(result []byte, code int, _ string, data []byte) {
+			source, o := result, router.OK
+			switch code {
+			case 0:
+			case Full:
+				source, o = data, router.Full
+			default:
+				source, o = data, router.Errored
+			}
+			stand := 0.0
+			_ = jsonrpc.Members(source, func(name []byte, v jsontext.Value) error {
+				if string(name) == "copies" {
+					stand, _ = jsonrpc.Number(v)
+				}
+				return nil
+			})
+			l.s.engine.Held(id, o, int(min(max(stand, 0), 1000)))
+		},
+	})
+}
+
+// Check implements engine.Link.
+func (l *Link) Check(id engine.CheckID) {
+	l.ask(`"c`+strconv.FormatUint(uint64(id), 10)+`"`, "host.ping", nil, flight{
+		ended: func(o router.Outcome, _ string) { l.s.engine.Checked(id, o, nil) },
+		answer: func(result []byte, code int, _ string, _ []byte) {
+			if code != 0 {
+				l.s.engine.Checked(id, router.Errored, nil)
+				return
+			}
+			_, _, report := readRun(result)
+			l.s.engine.Checked(id, router.OK, report)
+		},
+	})
+}
+
+// ask sends a request whose answer is awaited, or holds it until the link is up or the connect time-out is over.
+func (l *Link) ask(id, method string, params []byte, f flight) {
+	if l.ctx.Err() != nil {
+		l.s.loop.Post(func() { f.ended(router.ConnectFailed, "the link to "+l.name+" is closed") })
+		return
+	}
+	if l.up == nil {
+		h := &heldAsk{ask: func() { l.ask(id, method, params, f) },
+			expire: func() { f.ended(router.ConnectFailed, "no connection to "+l.name) }}
+		l.held = append(l.held, h)
+		time.AfterFunc(l.s.o.ConnectTimeOut, func() {
+			l.s.loop.Post(func() {
+				if at := slices.Index(l.held, h); at >= 0 {
+					l.held = slices.Delete(l.held, at, at+1)
+					h.expire()
+					l.retire()
+				}
+			})
+		})
+		return
+	}
+	if l.up.waiting() > l.s.o.SendBytes {
+		l.s.loop.Post(func() { f.ended(router.Full, l.name+" reads too slowly") })
+		return
+	}
+	f.at = l.up.total
+	l.sent[id] = f
+	l.up.write(jsonrpc.AppendRequest(nil, jsonrpc.ID(id), method, params))
+}
+
+func (l *Link) tell(method string, params []byte) {
+	l.up.write(jsonrpc.AppendRequest(nil, nil, method, params))
+}
+
+func (st *stream) waiting() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.out)
+}
+
+func (st *stream) write(value []byte) {
+	st.mu.Lock()
+	before := len(st.out)
+	st.out = jsonrpc.AppendFrame(st.out, value, false)
+	st.total += uint64(len(st.out) - before)
+	st.more.Signal()
+	st.mu.Unlock()
+}
+
+// answered hands a call-out's answer to the engine.
+func (l *Link) answered(id engine.CallOutID, result []byte, code int, message string, data []byte) {
+	if code == 0 {
+		var value []byte
+		warmth, crowd, report := readRun(result)
+		_ = jsonrpc.Members(result, func(name []byte, v jsontext.Value) error {
+			if string(name) == "value" {
+				value = v
+			}
+			return nil
+		})
+		if value == nil {
+			value = []byte("null")
+		}
+		l.s.engine.Answered(id, l.id, router.OK, warmth, crowd, report, value)
+		return
+	}
+	warmth, crowd, report := readRun(data)
+	o := router.Errored // also for codes that we don't know: they prove nothing
+	switch code {
+	case Full:
+		o = router.Full
+	case Missed:
+		o = router.Missed
+	case CalledOff:
+		o = router.CalledOff
+	}
+	if message == "" {
+		message = "error " + strconv.Itoa(code)
+	}
+	l.s.engine.Answered(id, l.id, o, warmth, crowd, report, []byte(l.name+": "+message))
+}
+
+var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad,
+	"joined": router.JoinedLoad, "load failed": router.LoadFailed}
+
+// readRun reads what an answer tells besides its value.
+func readRun(object []byte) (warmth router.Warmth, crowd int, report []float64) {
+	if len(object) == 0 || object[0] != '{' {
+		return
+	}
+	_ = jsonrpc.Members(object, func(name []byte, v jsontext.Value) error {
+		switch string(name) {
+		case "warmth":
+			word, _ := jsonrpc.Text(v)
+			warmth = warmths[word]
+		case "crowd":
+			n, _ := jsonrpc.Number(v)
+			crowd = int(min(max(n, 0), 1e6))
+		case "report":
+			report, _ = jsonrpc.Numbers(v)
+		}
+		return nil
+	})
+	return
+}
+
+// run keeps a connection up until the link's context ends.
+func (l *Link) run() {
+	pause := l.s.o.RedialMin
+	for l.ctx.Err() == nil {
+		ready, err := l.connect()
+		if l.ctx.Err() != nil {
+			break
+		}
+		if ready {
+			pause = l.s.o.RedialMin
+			l.s.o.Log.Info().Str("worker", l.name).AnErr("cause", err).Msg("connection to worker lost")
+		} else if pause == l.s.o.RedialMin {
+			l.s.o.Log.Info().Str("worker", l.name).AnErr("cause", err).Msg("no connection to worker")
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-time.After(pause):
+		}
+		if pause = min(2*pause, l.s.o.RedialMax); ready {
+			pause = l.s.o.RedialMin
+		}
+	}
+}
+
+// connect serves one connection to its end; ready: the worker was ready on it.
+func (l *Link) connect() (ready bool, err error) {
+	nc, err := (&net.Dialer{Timeout: l.s.o.ConnectTimeOut}).DialContext(l.ctx, "unix", l.socket)
+	if err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(l.ctx, func() { nc.Close() })
+	defer stop()
+	st := &stream{}
+	st.more = sync.NewCond(&st.mu)
+	p := &peer{l: l, nc: nc, st: st}
+	if err := nc.SetReadDeadline(time.Now().Add(l.s.o.ConnectTimeOut)); err != nil {
+		nc.Close()
+		return false, err
+	}
+	r := jsonrpc.NewReader(nc, l.s.o.ValueBytes)
+	var dec jsonrpc.Decoder
+	writer := make(chan struct{})
+	go func() { defer close(writer); st.send(nc) }()
+	for p.err == nil {
+		value, err := r.Next()
+		if err != nil {
+			p.err = err
+			break
+		}
+		dec.Decode(value, p)
+	}
+	nc.Close()
+	st.mu.Lock()
+	st.ended = true
+	st.more.Signal()
+	st.mu.Unlock()
+	<-writer
+	if p.ready {
+		l.s.loop.Post(func() { l.down(st.written, p.err) })
+	}
+	return p.ready, p.err
+}
+
+// send writes until the stream's end or the first error.
+func (st *stream) send(nc net.Conn) {
+	var spare []byte
+	for {
+		st.mu.Lock()
+		for len(st.out) == 0 && !st.ended {
+			st.more.Wait()
+		}
+		if st.ended {
+			st.mu.Unlock()
+			return
+		}
+		out := st.out
+		st.out = spare[:0]
+		st.mu.Unlock()
+		n, err := nc.Write(out)
+		st.written += uint64(n)
+		if err != nil {
+			nc.Close()
+			return
+		}
+		if spare = out; cap(spare) > 1<<16 {
+			spare = nil
+		}
+	}
+}
+
+// ready has what was held sent; in a turn.
+func (l *Link) ready(st *stream) {
+	l.up, l.sent = st, map[string]flight{}
+	l.tell("host.ping", append(jsonrpc.AppendText([]byte(`{"front_end":`), l.s.o.FrontEnd), '}'))
+	held := l.held
+	l.held = nil
+	for _, h := range held {
+		h.ask()
+	}
+}
+
+// down ends all that was out: written tells how many bytes of the stream the socket took.
+func (l *Link) down(written uint64, err error) {
+	l.up = nil
+	sent := l.sent
+	l.sent = map[string]flight{}
+	cause := fmt.Sprintf("connection to %s lost: %v", l.name, err)
+	for _, id := range sortedByPlace(sent) {
+		if f := sent[id]; f.at >= written {
+			f.ended(router.ConnectFailed, cause) // not a byte of it left: it never ran
+		} else {
+			f.ended(router.Reset, cause)
+		}
+	}
+	l.retire()
+}
+
+// peer reads one connection.
+type peer struct {
+	l     *Link
+	nc    net.Conn
+	st    *stream
+	ready bool
+	err   error
+}
+
+// BatchBegins implements jsonrpc.Peer.
+func (p *peer) BatchBegins() {}
+
+// BatchEnds implements jsonrpc.Peer.
+func (p *peer) BatchEnds() {}
+
+// Broken implements jsonrpc.Peer: what comes after nonsense can't be trusted.
+func (p *peer) Broken(_ jsonrpc.ID, _ int, message string) {
+	p.err = fmt.Errorf("nonsense from worker %s: %s", p.l.name, message)
+}
+
+// Asked implements jsonrpc.Peer.
+func (p *peer) Asked(_ jsonrpc.ID, method string, params []byte) {
+	l := p.l
+	switch method {
+	case "client.ready":
+		worker, version := "", 0.0
+		if len(params) > 0 && params[0] == '{' {
+			_ = jsonrpc.Members(params, func(name []byte, v jsontext.Value) error {
+				switch string(name) {
+				case "worker":
+					worker, _ = jsonrpc.Text(v)
+				case "protocol":
+					version, _ = jsonrpc.Number(v)
+				}
+				return nil
+			})
+		}
+		switch {
+		case worker != l.name:
+			p.err = fmt.Errorf("worker %.80q answers where %q should", worker, l.name)
+		case version != Version:
+			p.err = fmt.Errorf("worker %s speaks protocol %v, not %d", l.name, version, Version)
+		case p.ready:
+			p.err = fmt.Errorf("worker %s was ready before", l.name)
+		default:
+			p.ready = true
+			p.err = p.nc.SetReadDeadline(time.Time{})
+			l.s.loop.Post(func() { l.ready(p.st) })
+		}
+	case "client.fail":
+		p.err = fmt.Errorf("worker %s gives up: %.200s", l.name, params)
+	}
+}
+
+// Answered implements jsonrpc.Peer.
+func (p *peer) Answered(id jsonrpc.ID, result []byte, code int, message string, data []byte) {
+	l := p.l
+	key, both := string(id), append(append([]byte(nil), result...), data...)
+	result, data = both[:len(result):len(result)], both[len(result):]
+	l.s.loop.Post(func() {
+		f, out := l.sent[key]
+		if !out {
+			l.s.o.Log.Debug().Str("worker", l.name).Str("id", key).Msg("answer to what is not out")
+			return
+		}
+		delete(l.sent, key)
+		f.answer(result, code, message, data)
+		l.retire()
+	})
+}
--- /dev/null
+++ b/internal/settings/scenario.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"io"
+	"os"
+
+	"mallowlanding/router"
+)
+
+func openFile(file string) (io.ReadCloser, error) { return os.Open(file) }
+
+// Scenario is a scripted day: a fleet, a load, and what goes wrong.
+type Scenario struct {
+	Pos
+	Name     string      `a:"name" need:"yes"`
+	Length   router.Time `a:"length-ms" need:"yes" min:"100" max:"3600000"`
+	Seed     int64       `a:"seed" def:"1" min:"0" max:"9007199254740992"`
+	Slack    router.Time `a:"slack-ms" def:"50" min:"0" max:"10000"`
+	Service  Service     `e:"service" need:"yes"`
+	Fleet    Fleet       `e:"fleet" need:"yes"`
+	Load     Load        `e:"load" need:"yes"`
+	Clients  Callers     `e:"callers"`
+	Troubles []Trouble   `e:"trouble"`
+}
+
+// Fleet is who runs.
+type Fleet struct {
+	Pos
+	FrontEnds int          `a:"front-ends" def:"3" min:"1" max:"64"`
+	RosterLag router.Time  `a:"roster-lag-ms" def:"1000" min:"0" max:"60000"`
+	Groups    []Group      `e:"workers" need:"yes"`
+	Work      []WorkMethod `e:"work" need:"yes"`
+	Store     *Store       `e:"store"`
+}
+
+// Group is some workers of one make.
+type Group struct {
+	Pos
+	Count   int     `a:"count" need:"yes" min:"1" max:"256"`
+	Kind    string  `a:"kind"`
+	Zone    string  `a:"zone"`
+	Cell    string  `a:"cell"`
+	Machine Machine `e:"machine"`
+}
+
+// Load is what clients ask for: an open loop, arrivals don't wait for answers.
+type Load struct {
+	Pos
+	Rate      float64 `a:"rate-per-s" need:"yes" min:"0.1" max:"100000"`
+	Most      int     `a:"most" def:"100000" min:"1" max:"10000000"`
+	Functions int     `a:"functions" def:"20" min:"1" max:"100000"`
+	Zipf      float64 `a:"zipf" def:"1.1" min:"1.001" max:"10"`
+	Mix       []Mix   `e:"mix" need:"yes"`
+}
+
+// Mix is one method's part of the load.
+type Mix struct {
+	Pos
+	Method   string  `a:"method" need:"yes"`
+	Share    float64 `a:"share" need:"yes" min:"0" max:"1"`
+	Customer string  `a:"customer"`
+}
+
+// Callers tells how clients behave.
+type Callers struct {
+	Pos
+	Connections int         `a:"connections" def:"4" min:"1" max:"10000"`
+	Retries     int         `a:"retries" def:"2" min:"0" max:"20"`
+	TryShare    float64     `a:"try-share" def:"0.7" min:"0.05" max:"1"`
+	BackOff     router.Time `a:"back-off-ms" def:"50" min:"0" max:"60000"`
+	Heed        float64     `a:"heed" def:"0.8" min:"0" max:"1"`
+	Impatient   float64     `a:"impatient" def:"0" min:"0" max:"1"`
+	Notice      router.Time `a:"notice-ms" def:"1000" min:"0" max:"60000"`
+}
+
+// Trouble is something that goes wrong at a time.
+type Trouble struct {
+	Pos
+	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close"`
+	At   router.Time `a:"at-ms" need:"yes" min:"0" max:"3600000"`
+	For  router.Time `a:"for-ms" def:"1000" min:"1" max:"3600000"`
+	Part float64     `a:"part" def:"0.15" min:"0" max:"1"`
+	Size float64     `a:"size" def:"1" min:"0" max:"1000"`
+	Zone string      `a:"zone"`
+}
+
+// ReadScenario reads and checks a scenario.
+func ReadScenario(file string) (*Scenario, error) {
+	s := &Scenario{}
+	if err := readFile(file, "scenario", s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Scenario) check() error {
+	if err := s.Service.check(); err != nil {
+		return err
+	}
+	known := map[string]bool{}
+	for _, m := range s.Service.Methods {
+		known[m.Name] = true
+	}
+	for _, w := range s.Fleet.Work {
+		if !known[w.Method] {
+			return w.Errorf("work of method %q, which the service does not have", w.Method)
+		}
+	}
+	if err := distinct(s.Fleet.Work, func(m WorkMethod) (string, Pos) { return m.Method, m.Pos }, "work of method"); err != nil {
+		return err
+	}
+	sum := 0.0
+	for _, m := range s.Load.Mix {
+		if sum += m.Share; !known[m.Method] {
+			return m.Errorf("mix of method %q, which the service does not have", m.Method)
+		}
+	}
+	if sum < 0.999 || sum > 1.001 {
+		return s.Load.Errorf("the shares of the mix add up to %g, not 1", sum)
+	}
+	for _, t := range s.Troubles {
+		if t.Kind == "zone-loss" && place(s.Service.Zones, t.Zone) < 0 {
+			return t.Errorf("zone %q is none of the service's", t.Zone)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,490 @@
+// Package settings reads the XML documents that schema/mallowlanding.xsd describes, strictly: what they don't know,
+// and figures out of range, are errors that name file, line and reason. Times are stated in milliseconds.
+package settings
+
+import (
+	"cmp"
+	"fmt"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/ident"
+	"mallowlanding/internal/terms"
+	"mallowlanding/router"
+)
+
+// Service is what all front ends of a service agree on.
+type Service struct {
+	Pos
+	Methods   []Method   `e:"method" need:"yes"`
+	Customers []Customer `e:"customer"`
+	Zones     []Named    `e:"zone"`
+	Cells     []Named    `e:"cell"`
+	Kinds     []Kind     `e:"kind"`
+	Functions Functions  `e:"functions"`
+	CallOuts  CallOuts   `e:"call-outs"`
+	Rules     Rules      `e:"rules"`
+	Price     Price      `e:"price"`
+}
+
+// Method is a kind of RPC.
+type Method struct {
+	Pos
+	Name      string      `a:"name" need:"yes"`
+	Effect    string      `a:"effect" need:"yes" words:"idempotent tokened side-effecting"`
+	Gain      float64     `a:"gain" def:"1" min:"0" max:"1e6"`
+	Soft      router.Time `a:"soft-deadline-ms" def:"1000" min:"1" max:"3600000"`
+	Deadline  router.Time `a:"deadline-ms" def:"3000" min:"50" max:"3600000"`
+	LateShare float64     `a:"late-share" def:"0" min:"0" max:"1"`
+	Group     string      `a:"group" words:"all zone cell"`
+	Window    router.Time `a:"window-ms" min:"1" max:"3600000"`
+	Memory    float64     `a:"memory-mb" def:"256" min:"1" max:"1e6"`
+	Lanes     int         `a:"lanes" def:"1" min:"1" max:"1024"`
+	Load      router.Time `a:"load-ms" def:"500" min:"1" max:"600000"`
+}
+
+// Customer is somebody who pays for a share of the service.
+type Customer struct {
+	Pos
+	Name  string  `a:"name" need:"yes"`
+	Quota float64 `a:"quota-per-s" need:"yes" min:"0" max:"1e9"`
+	Share float64 `a:"share" def:"0" min:"0" max:"1"`
+}
+
+// Named is a zone or a cell.
+type Named struct {
+	Pos
+	Name string `a:"name" need:"yes"`
+}
+
+// Kind is a kind of worker.
+type Kind struct {
+	Pos
+	Name   string  `a:"name" need:"yes"`
+	Memory float64 `a:"memory-mb" need:"yes" min:"1" max:"1e9"`
+}
+
+// Functions tells what holds for all functions, and for some by name.
+type Functions struct {
+	Pos
+	KeepAlive    router.Time `a:"keep-alive-ms" def:"10000" min:"1" max:"3600000"`
+	Orders       bool        `a:"orders" def:"yes"`
+	OrderTimeOut router.Time `a:"order-time-out-ms" def:"10000" min:"1" max:"600000"`
+	LoadWindow   router.Time `a:"load-window-ms" def:"0" min:"0" max:"600000"`
+	LoadFree     float64     `a:"load-free" def:"0" min:"0" max:"1e6"`
+	LoadShare    float64     `a:"load-share" def:"0" min:"0" max:"1e3"`
+	Some         []Function  `e:"function"`
+}
+
+// Function is one function's copy; what it leaves out is its method's.
+type Function struct {
+	Pos
+	Name   string      `a:"name" need:"yes"`
+	Memory float64     `a:"memory-mb" min:"1" max:"1e6"`
+	Lanes  int         `a:"lanes" min:"1" max:"1024"`
+	Load   router.Time `a:"load-ms" min:"1" max:"600000"`
+}
+
+// CallOuts tells what a front end may do.
+type CallOuts struct {
+	Pos
+	Most           int         `a:"most" def:"3" min:"1" max:"250"`
+	Overlap        bool        `a:"overlap" def:"no"`
+	Retract        bool        `a:"retract" def:"yes"`
+	Check          bool        `a:"check" def:"yes"`
+	ConnectTimeOut router.Time `a:"connect-time-out-ms" def:"250" min:"1" max:"60000"`
+	ComeBack       router.Time `a:"come-back-ms" def:"500" min:"0" max:"600000"`
+	OverShareGain  float64     `a:"over-share-gain" def:"1" min:"0" max:"1"`
+}
+
+// Rules has the figures of the five rules.
+type Rules struct {
+	Pos
+	Drain        router.Time `a:"drain-ms" def:"500" min:"0" max:"600000"`
+	Cold         router.Time `a:"cold-ms" def:"10000" min:"0" max:"600000"`
+	ColdFrom     float64     `a:"cold-from" def:"0.2" min:"0.001" max:"1"`
+	FallMultiple float64     `a:"fall-multiple" def:"2" min:"0.1" max:"100"`
+	Fall         router.Time `a:"fall-ms" def:"1000" min:"1" max:"60000"`
+}
+
+// Price is what things cost, in gain.
+type Price struct {
+	Pos
+	CrossZone float64 `a:"cross-zone" def:"0" min:"0" max:"1"`
+}
+
+// FrontEnd is a front end's document.
+type FrontEnd struct {
+	Pos
+	Name    string     `a:"name" need:"yes"`
+	Number  int        `a:"number" def:"0" min:"0" max:"65535"`
+	Of      int        `a:"of" def:"1" min:"1" max:"65536"`
+	Zone    string     `a:"zone"`
+	Seed    int64      `a:"seed" def:"1" min:"0" max:"9007199254740992"`
+	Stop    StopWithin `e:"stop"`
+	Clients Clients    `e:"clients" need:"yes"`
+	Workers Workers    `e:"workers"`
+	Roster  RosterAt   `e:"roster" need:"yes"`
+	Service Service    `e:"service" need:"yes"`
+}
+
+// StopWithin bounds a front end's leaving.
+type StopWithin struct {
+	Pos
+	Within router.Time `a:"within-ms" min:"1" max:"3600000"`
+}
+
+// Clients is the front end's side towards clients.
+type Clients struct {
+	Pos
+	Socket       string      `a:"socket" need:"yes"`
+	Mode         string      `a:"mode" def:"0600" words:"0600 0660 0666"`
+	Connections  int         `a:"connections" def:"1000" min:"1" max:"1000000"`
+	Open         int         `a:"open" def:"1000" min:"1" max:"1000000"`
+	ValueBytes   int         `a:"value-bytes" def:"1048576" min:"256" max:"1073741824"`
+	AnswerBytes  int         `a:"answer-bytes" def:"1048576" min:"1024" max:"1073741824"`
+	WriteTimeOut router.Time `a:"write-time-out-ms" def:"30000" min:"10" max:"3600000"`
+	Margin       router.Time `a:"margin-ms" def:"10" min:"0" max:"10000"`
+}
+
+// Workers is the front end's side towards workers.
+type Workers struct {
+	Pos
+	ValueBytes int         `a:"value-bytes" def:"1048576" min:"256" max:"1073741824"`
+	SendBytes  int         `a:"send-bytes" def:"4194304" min:"1024" max:"1073741824"`
+	RedialMin  router.Time `a:"redial-min-ms" def:"20" min:"1" max:"60000"`
+	RedialMax  router.Time `a:"redial-max-ms" def:"1000" min:"1" max:"600000"`
+}
+
+// RosterAt says where the list of workers comes from.
+type RosterAt struct {
+	Pos
+	Socket string `a:"socket" need:"yes"`
+	Cache  string `a:"cache"`
+}
+
+// Worker is a stand-in worker's document.
+type Worker struct {
+	Pos
+	Name    string       `a:"name" need:"yes"`
+	Socket  string       `a:"socket" need:"yes"`
+	Control string       `a:"control"`
+	Zone    string       `a:"zone"`
+	Cell    string       `a:"cell"`
+	Kind    string       `a:"kind"`
+	Cold    bool         `a:"cold" def:"yes"`
+	Seed    int64        `a:"seed" def:"1" min:"0" max:"9007199254740992"`
+	Log     string       `a:"log"`
+	Machine Machine      `e:"machine"`
+	Ramp    Rules        `e:"rules"`
+	Work    []WorkMethod `e:"work"`
+	Roster  *RosterAt    `e:"roster"`
+	Store   *StoreAt     `e:"store"`
+}
+
+// Machine is what a stand-in worker has.
+type Machine struct {
+	Pos
+	Cores       int         `a:"cores" def:"2" min:"1" max:"1024"`
+	Speed       float64     `a:"speed" def:"1" min:"0.01" max:"100"`
+	Memory      float64     `a:"memory-mb" def:"4096" min:"1" max:"1e9"`
+	Queue       int         `a:"queue" def:"64" min:"0" max:"100000"`
+	LoadsAtOnce int         `a:"loads-at-once" def:"4" min:"1" max:"1024"`
+	KeepAlive   router.Time `a:"keep-alive-ms" def:"10000" min:"1" max:"3600000"`
+	LoadFails   float64     `a:"load-fails" def:"0" min:"0" max:"1"`
+	ReportEvery router.Time `a:"report-every-ms" def:"200" min:"1" max:"60000"`
+	StartShare  float64     `a:"start-share" def:"0.5" min:"0" max:"1"`
+}
+
+// WorkMethod is what an RPC of a method costs a stand-in worker, and what it remembers.
+type WorkMethod struct {
+	Pos
+	Method string      `a:"method" need:"yes"`
+	Mean   router.Time `a:"mean-ms" def:"10" min:"0" max:"600000"`
+	Spread float64     `a:"spread" def:"0.3" min:"0" max:"3"`
+	Effect string      `a:"effect" def:"idempotent" words:"idempotent tokened side-effecting"`
+	Window router.Time `a:"window-ms" def:"3000" min:"1" max:"3600000"`
+	Group  string      `a:"group" def:"all" words:"all zone cell"`
+}
+
+// StoreAt says where the shared store is.
+type StoreAt struct {
+	Pos
+	Socket string `a:"socket" need:"yes"`
+}
+
+// Roster is the document of the stand-in roster, which may serve the stand-in store too.
+type Roster struct {
+	Pos
+	Socket string      `a:"socket" need:"yes"`
+	Lag    router.Time `a:"lag-ms" def:"1000" min:"0" max:"60000"`
+	Log    string      `a:"log"`
+	Store  *Store      `e:"store"`
+}
+
+// Store is the stand-in store that all workers share.
+type Store struct {
+	Pos
+	Socket  string      `a:"socket"` // owed by a roster's document, not by a scenario's
+	AtOnce  int         `a:"at-once" def:"8" min:"1" max:"100000"`
+	Refuses int         `a:"refuses" def:"40" min:"1" max:"1000000"`
+	Mean    router.Time `a:"mean-ms" def:"300" min:"0" max:"600000"`
+	Thrash  float64     `a:"thrash" def:"0.1" min:"0" max:"10"`
+}
+
+// ReadFrontEnd reads and checks a front end's document.
+func ReadFrontEnd(file string) (*FrontEnd, error) {
+	f := &FrontEnd{}
+	if err := readFile(file, "front-end", f); err != nil {
+		return nil, err
+	}
+	return f, f.check()
+}
+
+// ReadWorker reads a stand-in worker's document.
+func ReadWorker(file string) (*Worker, error) {
+	w := &Worker{}
+	if err := readFile(file, "worker", w); err != nil {
+		return nil, err
+	}
+	return w, distinct(w.Work, func(m WorkMethod) (string, Pos) { return m.Method, m.Pos }, "work of method")
+}
+
+// ReadRoster reads a stand-in roster's document.
+func ReadRoster(file string) (*Roster, error) {
+	r := &Roster{}
+	if err := readFile(file, "roster", r); err != nil {
+		return nil, err
+	}
+	if r.Store != nil && r.Store.Socket == "" {
+		return nil, r.Store.Errorf("attribute %q of %q is missing", "socket", "store")
+	}
+	return r, nil
+}
+
+// Check reads any of the documents and tells what it is.
+func Check(file string) (kind string, err error) {
+	root, err := rootOf(file)
+	if err != nil {
+		return "", err
+	}
+	switch root.name {
+	case "front-end":
+		_, err = ReadFrontEnd(file)
+	case "worker":
+		_, err = ReadWorker(file)
+	case "roster":
+		_, err = ReadRoster(file)
+	case "scenario":
+		_, err = ReadScenario(file)
+	default:
+		err = root.pos.Errorf("root element %q is none of front-end, worker, roster, scenario", root.name)
+	}
+	return root.name, err
+}
+
+// distinct finds the second place of a name.
+func distinct[T any](items []T, name func(T) (string, Pos), what string) error {
+	seen := map[string]bool{}
+	for _, item := range items {
+		n, pos := name(item)
+		if seen[n] {
+			return pos.Errorf("%s %q stands twice", what, n)
+		}
+		seen[n] = true
+	}
+	return nil
+}
+
+func named(n Named) (string, Pos) { return n.Name, n.Pos }
+
+func (f *FrontEnd) check() error {
+	if f.Number >= f.Of {
+		return f.Errorf("number %d of %d front ends: numbers begin at 0", f.Number, f.Of)
+	}
+	if f.Workers.RedialMax < f.Workers.RedialMin {
+		return f.Workers.Errorf("redial-max-ms is below redial-min-ms")
+	}
+	if err := f.Service.check(); err != nil {
+		return err
+	}
+	if f.Zone != "" && place(f.Service.Zones, f.Zone) < 0 {
+		return f.Errorf("zone %q is none of the service's", f.Zone)
+	}
+	longest := router.Time(0)
+	for _, m := range f.Service.Methods {
+		longest = max(longest, m.Deadline)
+		if m.Deadline <= f.Clients.Margin {
+			return m.Errorf("method %q: its deadline is no longer than the clients' margin-ms", m.Name)
+		}
+	}
+	if f.Stop.Within == 0 {
+		f.Stop.Within = longest
+	}
+	if f.Stop.Within < longest {
+		return f.Stop.Errorf("within-ms is below the longest deadline, %v ms: held RPCs could not be answered",
+			float64(longest)/10)
+	}
+	return nil
+}
+
+func (s *Service) check() error {
+	for i := range s.Methods {
+		m := &s.Methods[i]
+		tokened := m.Effect == router.Tokened
+		switch {
+		case tokened && (m.Group == "" || m.Window == 0):
+			return m.Errorf("method %q is tokened: group and window-ms are missing", m.Name)
+		case !tokened && (m.Group != "" || m.Window != 0):
+			return m.Errorf("method %q is %s: group and window-ms belong to tokened methods", m.Name, m.Effect)
+		case m.Soft > m.Deadline:
+			return m.Errorf("method %q: soft-deadline-ms is over deadline-ms", m.Name)
+		case len(m.Name) >= 4 && m.Name[:4] == "rpc.":
+			return m.Errorf("method %q: names that begin with rpc. are reserved by JSON-RPC", m.Name)
+		}
+	}
+	names := make([]string, len(s.Functions.Some))
+	for i, fn := range s.Functions.Some {
+		names[i] = fn.Name
+	}
+	if err := ident.Distinct(names, ident.Function); err != nil {
+		return s.Functions.Errorf("functions: %v", err)
+	}
+	return cmp.Or(
+		distinct(s.Methods, func(m Method) (string, Pos) { return m.Name, m.Pos }, "method"),
+		distinct(s.Customers, func(c Customer) (string, Pos) { return c.Name, c.Pos }, "customer"),
+		distinct(s.Zones, named, "zone"), distinct(s.Cells, named, "cell"),
+		distinct(s.Kinds, func(k Kind) (string, Pos) { return k.Name, k.Pos }, "kind"))
+}
+
+// place finds a name; -1: it is not there.
+func place(in []Named, name string) int {
+	for i, n := range in {
+		if n.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// ZoneID, CellID and KindID are places in the settings' lists; what they don't name is one past the last.
+func (s *Service) ZoneID(name string) router.ZoneID {
+	if i := place(s.Zones, name); i >= 0 {
+		return router.ZoneID(i)
+	}
+	return router.ZoneID(len(s.Zones))
+}
+
+// CellID is a cell's place; see ZoneID.
+func (s *Service) CellID(name string) router.CellID {
+	if i := place(s.Cells, name); i >= 0 {
+		return router.CellID(i)
+	}
+	return router.CellID(len(s.Cells))
+}
+
+// KindID is a kind's place; see ZoneID.
+func (s *Service) KindID(name string) router.KindID {
+	for i, k := range s.Kinds {
+		if k.Name == name {
+			return router.KindID(i)
+		}
+	}
+	return router.KindID(len(s.Kinds))
+}
+
+// EngineMethods are the methods as the engine needs them, in their order.
+func (s *Service) EngineMethods() []engine.Method {
+	var out []engine.Method
+	for _, m := range s.Methods {
+		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Deadline: m.Deadline})
+	}
+	return out
+}
+
+// FunctionFor tells what a copy of a function needs, for an RPC of the method at place m.
+func (s *Service) FunctionFor() func(m int, name string) engine.Function {
+	some := map[string]Function{}
+	for _, fn := range s.Functions.Some {
+		some[fn.Name] = fn
+	}
+	return func(m int, name string) engine.Function {
+		fn, method := some[name], &s.Methods[m]
+		return engine.Function{Memory: cmp.Or(fn.Memory, method.Memory), Lanes: cmp.Or(fn.Lanes, method.Lanes),
+			Load: cmp.Or(fn.Load, method.Load)}
+	}
+}
+
+// ReportValues are the figures of a worker's load report, in their order on the wire.
+var ReportValues = []string{terms.Util, terms.Pinned, terms.InHand, terms.Loads}
+
+// Module is the map that the module takes; see terms.
+func (f *FrontEnd) Module() router.Settings {
+	s, c, r, fn := &f.Service, &f.Service.CallOuts, &f.Service.Rules, &f.Service.Functions
+	out := router.Settings{
+		terms.FrontEnds: float64(f.Of),
+		terms.Me:        float64(f.Number),
+		terms.Zone:      float64(s.ZoneID(f.Zone)),
+		terms.List:      terms.Pushed,
+		terms.OverShare: c.OverShareGain,
+
+		terms.Path(terms.May, terms.CallOuts):       float64(c.Most),
+		terms.Path(terms.May, terms.Overlap):        c.Overlap,
+		terms.Path(terms.May, terms.Retract):        c.Retract,
+		terms.Path(terms.May, terms.Check):          c.Check,
+		terms.Path(terms.May, terms.ConnectTimeOut): float64(c.ConnectTimeOut),
+		terms.Path(terms.May, terms.ComeBack):       float64(c.ComeBack),
+
+		terms.Path(terms.Price, terms.CrossZone): s.Price.CrossZone,
+
+		terms.Path(terms.Functions, terms.KeepAlive):    float64(fn.KeepAlive),
+		terms.Path(terms.Functions, terms.Orders):       fn.Orders,
+		terms.Path(terms.Functions, terms.OrderTimeOut): float64(fn.OrderTimeOut),
+		terms.Path(terms.Functions, terms.LoadWindow):   float64(fn.LoadWindow),
+		terms.Path(terms.Functions, terms.LoadFree):     fn.LoadFree,
+		terms.Path(terms.Functions, terms.LoadShare):    fn.LoadShare,
+		terms.Path(terms.Functions, terms.TellsWarm):    true,
+		terms.Path(terms.Functions, terms.TellsCrowd):   true,
+
+		terms.Path(terms.Rules, terms.Drain):        float64(r.Drain),
+		terms.Path(terms.Rules, terms.Cold):         float64(r.Cold),
+		terms.Path(terms.Rules, terms.ColdFrom):     r.ColdFrom,
+		terms.Path(terms.Rules, terms.FallMultiple): r.FallMultiple,
+		terms.Path(terms.Rules, terms.Fall):         float64(r.Fall),
+
+		terms.Methods:   float64(len(s.Methods)),
+		terms.Customers: float64(len(s.Customers)),
+	}
+	memory := terms.Path(terms.Functions, terms.Memory)
+	out[memory] = float64(len(s.Kinds))
+	for i, k := range s.Kinds {
+		out[terms.At(memory, i, "")] = k.Memory
+	}
+	values := terms.Path(terms.Report, terms.Values)
+	out[values] = float64(len(ReportValues))
+	for i, name := range ReportValues {
+		out[terms.Path(values, name)] = float64(i)
+	}
+	for i, m := range s.Methods {
+		out[terms.At(terms.Methods, i, terms.Gain)] = m.Gain
+		out[terms.At(terms.Methods, i, terms.LateShare)] = m.LateShare
+		out[terms.At(terms.Methods, i, terms.SoftDeadline)] = float64(m.Soft)
+		out[terms.At(terms.Methods, i, terms.Deadline)] = float64(m.Deadline)
+		out[terms.At(terms.Methods, i, terms.Effect)] = m.Effect
+		out[terms.At(terms.Methods, i, terms.Group)] = m.Group
+		out[terms.At(terms.Methods, i, terms.Window)] = float64(m.Window)
+	}
+	for i, c := range s.Customers {
+		out[terms.At(terms.Customers, i, terms.Quota)] = c.Quota
+		out[terms.At(terms.Customers, i, terms.Share)] = c.Share
+	}
+	return out
+}
+
+func rootOf(file string) (*element, error) {
+	in, err := openFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	defer in.Close()
+	return parse(file, in)
+}
--- /dev/null
+++ b/internal/standin/roster.go
@@ -0,0 +1,323 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/clients"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// roster tells front ends who runs, drains and is gone, as late as its settings say. It knows of workers by their
+// connections to it: one that ends is a process that ended.
+type roster struct {
+	set    *settings.Roster
+	log    zerolog.Logger
+	rec    *record.Log
+	loop   *turn.Loop
+	timers turn.Timers
+
+	version  uint64
+	members  map[string]*membership
+	order    []string
+	watchers map[*rosterConn]bool
+}
+
+// membership is a worker as the roster may tell of it by now.
+type membership struct {
+	socket, zone, cell, kind, state string
+	life                            int64
+	started                         router.Time
+	cold                            bool
+}
+
+// Begin implements turn.Machine.
+func (r *roster) Begin(router.Time) {}
+
+// End implements turn.Machine.
+func (r *roster) End() { r.timers.Fire(r.loop.Now()) }
+
+// Due implements turn.Machine.
+func (r *roster) Due() (router.Time, bool) { return r.timers.Due() }
+
+// Roster runs a stand-in roster until the context ends, with a stand-in store where its settings have one.
+func Roster(ctx context.Context, set *settings.Roster, log zerolog.Logger, ready func()) error {
+	rec, err := record.Open(set.Log)
+	if err != nil {
+		return err
+	}
+	defer rec.Close()
+	l, err := clients.Listen(set.Socket, 0o600)
+	if err != nil {
+		return err
+	}
+	r := &roster{set: set, log: log, rec: rec, loop: turn.NewLoop(), members: map[string]*membership{},
+		watchers: map[*rosterConn]bool{}}
+	var group errgroup.Group
+	if set.Store != nil {
+		sl, err := clients.Listen(set.Store.Socket, 0o600)
+		if err != nil {
+			l.Close()
+			return err
+		}
+		group.Go(func() error { return serveStore(ctx, set.Store, sl) })
+	}
+	group.Go(func() error { r.loop.Run(ctx, r); return nil })
+	group.Go(func() error {
+		return accept(ctx, l, func(ctx context.Context, nc net.Conn) {
+			c := &rosterConn{r: r, c: jsonrpc.NewConn(nc, valueLimit)}
+			_ = c.c.Serve(ctx, c)
+			r.loop.Post(c.gone)
+		})
+	})
+	log.Info().Str("socket", set.Socket).Msg("roster runs")
+	if ready != nil {
+		ready()
+	}
+	return group.Wait()
+}
+
+type rosterConn struct {
+	r        *roster
+	c        *jsonrpc.Conn
+	frontEnd string   // a watcher's name
+	workers  []string // that joined here
+}
+
+// BatchBegins implements jsonrpc.Peer.
+func (c *rosterConn) BatchBegins() {}
+
+// BatchEnds implements jsonrpc.Peer.
+func (c *rosterConn) BatchEnds() {}
+
+// Answered implements jsonrpc.Peer.
+func (c *rosterConn) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
+
+// Broken implements jsonrpc.Peer.
+func (c *rosterConn) Broken(id jsonrpc.ID, code int, message string) {
+	c.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
+}
+
+// Asked implements jsonrpc.Peer.
+func (c *rosterConn) Asked(_ jsonrpc.ID, method string, params []byte) {
+	params = bytes.Clone(params)
+	switch method {
+	case "roster.watch":
+		c.r.loop.Post(func() {
+			c.frontEnd = member(params, "front_end")
+			c.r.watchers[c] = true
+			c.r.tell(c, true, c.r.order)
+		})
+	case "roster.join":
+		name, state := member(params, "name"), member(params, "state")
+		now, unix := c.r.loop.Now(), time.Now().UnixMilli()
+		cold := jsontext.Value(rawMember(params, "cold")).Kind() == 't'
+		c.r.loop.Post(func() {
+			if !slices.Contains(c.workers, name) {
+				c.workers = append(c.workers, name)
+			}
+			c.r.after(func() {
+				m := c.r.members[name]
+				if m == nil {
+					m = &membership{}
+					c.r.members[name], c.r.order = m, append(c.r.order, name)
+				}
+				if state == "ready" {
+					m.life, m.started, m.cold = unix, now, cold
+				}
+				m.socket, m.zone, m.cell = member(params, "socket"), member(params, "zone"), member(params, "cell")
+				m.kind, m.state = member(params, "kind"), state
+				c.r.changed(name)
+			})
+		})
+	}
+}
+
+// after does something once the roster's lag is over.
+func (r *roster) after(f func()) {
+	r.timers.Set(new(turn.Timer), r.loop.Now()+r.set.Lag, func(router.Time) { f() })
+}
+
+// gone: the connection has ended, and with it the processes that joined on it.
+func (c *rosterConn) gone() {
+	delete(c.r.watchers, c)
+	ended := c.r.loop.Now()
+	for _, name := range c.workers {
+		c.r.after(func() {
+			if m := c.r.members[name]; m != nil && m.started < ended { // else a new life has begun
+				m.state = "gone"
+				c.r.changed(name)
+			}
+		})
+	}
+}
+
+func (r *roster) changed(name string) {
+	r.version++
+	for c := range r.watchers {
+		r.tell(c, false, []string{name})
+	}
+}
+
+// tell sends a list or changes to one front end, and notes what was told.
+func (r *roster) tell(c *rosterConn, whole bool, names []string) {
+	b := strconv.AppendUint([]byte(`{"version":`), r.version, 10)
+	b = append(strconv.AppendBool(append(b, `,"whole":`...), whole), `,"workers":[`...)
+	now, some := r.loop.Now(), false
+	for _, name := range names {
+		m := r.members[name]
+		if whole && m.state == "gone" {
+			continue
+		}
+		if some {
+			b = append(b, ',')
+		}
+		some = true
+		b = jsonrpc.AppendText(append(b, `{"name":`...), name)
+		for _, f := range [][2]string{{"socket", m.socket}, {"state", m.state}, {"zone", m.zone}, {"cell", m.cell},
+			{"kind", m.kind}} {
+			b = jsonrpc.AppendText(append(jsonrpc.AppendText(append(b, ','), f[0]), ':'), f[1])
+		}
+		age := -1.0 // it was warm when it came: long ago
+		if m.cold {
+			age = float64(now-m.started) / 10
+		}
+		b = strconv.AppendInt(append(b, `,"life":`...), m.life, 10)
+		b = append(strconv.AppendFloat(append(b, `,"age_ms":`...), age, 'f', 1, 64), '}')
+	}
+	value := jsonrpc.AppendRequest(nil, nil, "roster.list", append(b, "]}"...))
+	told := time.Now().UnixNano()
+	c.c.Write(value)
+	for _, name := range names {
+		if m := r.members[name]; !whole || m.state != "gone" {
+			if err := r.rec.Add(record.Record{T: told, Kind: record.Told, Who: "roster", FrontEnd: c.frontEnd,
+				Worker: name, State: m.state}); err != nil {
+				r.log.Error().Err(err).Msg("log")
+			}
+		}
+	}
+}
+
+// store serves fetches: so many at full pace, more of them slower, and beyond a limit none. It also keeps the
+// groups' memory of tokens.
+type store struct {
+	set    *settings.Store
+	loop   *turn.Loop
+	timers turn.Timers
+	inHand int
+	tokens map[string]router.Time // until when
+	swept  router.Time
+}
+
+// Begin implements turn.Machine.
+func (s *store) Begin(router.Time) {}
+
+// End implements turn.Machine.
+func (s *store) End() { s.timers.Fire(s.loop.Now()) }
+
+// Due implements turn.Machine.
+func (s *store) Due() (router.Time, bool) { return s.timers.Due() }
+
+func serveStore(ctx context.Context, set *settings.Store, l net.Listener) error {
+	s := &store{set: set, loop: turn.NewLoop(), tokens: map[string]router.Time{}}
+	var group errgroup.Group
+	group.Go(func() error { s.loop.Run(ctx, s); return nil })
+	group.Go(func() error {
+		return accept(ctx, l, func(ctx context.Context, nc net.Conn) {
+			c := &storeConn{s: s, c: jsonrpc.NewConn(nc, valueLimit)}
+			_ = c.c.Serve(ctx, c)
+		})
+	})
+	return group.Wait()
+}
+
+type storeConn struct {
+	s *store
+	c *jsonrpc.Conn
+}
+
+// BatchBegins implements jsonrpc.Peer.
+func (c *storeConn) BatchBegins() {}
+
+// BatchEnds implements jsonrpc.Peer.
+func (c *storeConn) BatchEnds() {}
+
+// Answered implements jsonrpc.Peer.
+func (c *storeConn) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
+
+// Broken implements jsonrpc.Peer.
+func (c *storeConn) Broken(id jsonrpc.ID, code int, message string) {
+	c.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
+}
+
+// Asked implements jsonrpc.Peer.
+func (c *storeConn) Asked(id jsonrpc.ID, method string, params []byte) {
+	key := bytes.Clone(id)
+	usual, _ := jsonrpc.Number(jsontext.Value(rawMember(params, "usual_ms")))
+	window, _ := jsonrpc.Number(jsontext.Value(rawMember(params, "window_ms")))
+	token := member(params, "group") + "\x00" + member(params, "token")
+	c.s.loop.Post(func() {
+		switch method {
+		case "store.fetch":
+			c.s.fetch(router.Time(usual*10), func(ok bool) {
+				if ok {
+					c.c.Write(jsonrpc.AppendResult(nil, key, []byte("true")))
+					return
+				}
+				c.c.Write(jsonrpc.AppendError(nil, key, full, "turned away", nil))
+			})
+		case "token.claim":
+			first := c.s.claim(token, router.Time(window*10))
+			c.c.Write(jsonrpc.AppendResult(nil, key, strconv.AppendBool(nil, first)))
+		default:
+			c.c.Write(jsonrpc.AppendError(nil, key, jsonrpc.MethodNotFound, "no such method", nil))
+		}
+	})
+}
+
+// fetch takes the usual time, longer by its crowd: past at-once fetches the store's pace is shared, and thrash takes
+// a further part of it for each of them.
+func (s *store) fetch(usual router.Time, done func(ok bool)) {
+	if s.inHand >= s.set.Refuses {
+		done(false)
+		return
+	}
+	s.inHand++
+	crowd := math.Max(1, float64(s.inHand)/float64(s.set.AtOnce))
+	took := float64(max(usual, s.set.Mean)) * crowd * (1 + s.set.Thrash*(crowd-1))
+	s.timers.Set(new(turn.Timer), s.loop.Now()+router.Time(took), func(router.Time) {
+		s.inHand--
+		done(true)
+	})
+}
+
+// claim remembers a token for its window; first: it was not remembered.
+func (s *store) claim(token string, window router.Time) bool {
+	now := s.loop.Now()
+	if now-s.swept > 10000 {
+		s.swept = now
+		for t, until := range s.tokens {
+			if until <= now {
+				delete(s.tokens, t)
+			}
+		}
+	}
+	if s.tokens[token] > now {
+		return false
+	}
+	s.tokens[token] = now + window
+	return true
+}
