--- a/internal/jsonrpc/codec.go
+++ b/internal/jsonrpc/codec.go
@@ -337,3 +337,17 @@
 
 // Valid tells whether text is one JSON value.
 func Valid(text []byte) bool { return jsontext.Value(text).IsValid(options...) }
+
+// Member is an object's member as JSON; empty: there is no such member, or no object.
+func Member(object []byte, name string) (value []byte) {
+	if len(object) == 0 || object[0] != '{' {
+		return nil
+	}
+	_ = Members(object, func(n []byte, v jsontext.Value) error {
+		if string(n) == name {
+			value = v
+		}
+		return nil
+	})
+	return value
+}
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -192,3 +192,10 @@
 		f(Answer{Result: bytes.Clone(result), Code: code, Message: message, Data: bytes.Clone(data)})
 	}
 }
+
+// Over tells whether the stream has ended.
+func (c *Caller) Over() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -20,6 +20,7 @@
 	Began   = "began"   // a worker's life begins; Cold tells for how long, in ms
 	Request = "request" // an RPC came; Cost is its method's mean work in core ms
 	Hold    = "hold"    // a load order for N copies came
+	Ended   = "ended"   // the worker answers an RPC; N is its error code, 0 for ok
 	Effect  = "effect"  // an RPC's effect happened
 	Dropped = "dropped" // a repeat's effect was dropped by its token
 	Fell    = "fell"    // the worker was pushed over
--- /dev/null
+++ b/internal/rehearse/load.go
@@ -0,0 +1,315 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"mallowlanding/internal/clients"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// tally sums up what became of one method's first tries, each with its repeats.
+type tally struct {
+	Asked, OK, Late, Denied, Aborted, Lost int
+	GainAsked, GainKept                    float64
+	latency                                *hdrhistogram.Histogram // of ok, in microseconds
+}
+
+func newTally() *tally { return &tally{latency: hdrhistogram.New(1, 120e6, 3)} }
+
+// callers are the clients of a day: an open loop whose arrivals don't wait for answers.
+type callers struct {
+	s     *settings.Scenario
+	fleet *fleet
+	keep  func(record.Record)
+	start time.Time
+
+	mu      sync.Mutex
+	methods map[string]*tally
+	seconds []*tally
+	pools   []*pool
+	dead    []time.Time // since when a front end is known to be dead
+	open    sync.WaitGroup
+	lookups map[string]*settings.Method
+}
+
+// pool is the connections to one front end; each carries many RPCs.
+type pool struct {
+	c     *callers
+	i     int
+	mu    sync.Mutex
+	conns []*jsonrpc.Caller
+	next  int
+}
+
+func newCallers(s *settings.Scenario, f *fleet, keep func(record.Record)) *callers {
+	c := &callers{s: s, fleet: f, keep: keep, methods: map[string]*tally{}, lookups: map[string]*settings.Method{},
+		dead: make([]time.Time, s.Fleet.FrontEnds)}
+	for i := range s.Service.Methods {
+		m := &s.Service.Methods[i]
+		c.lookups[m.Name] = m
+		c.methods[m.Name] = newTally()
+	}
+	for range int(turn.Duration(s.Length)/time.Second) + 1 {
+		c.seconds = append(c.seconds, newTally())
+	}
+	for i := range s.Fleet.FrontEnds {
+		c.pools = append(c.pools, &pool{c: c, i: i, conns: make([]*jsonrpc.Caller, s.Clients.Connections)})
+	}
+	return c
+}
+
+// errUnreached: the front end could not be reached, so nothing was sent.
+type errUnreached struct{ error }
+
+// get gives a connection, made anew where it broke.
+func (p *pool) get(ctx context.Context) (*jsonrpc.Caller, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = (p.next + 1) % len(p.conns)
+	if c := p.conns[p.next]; c != nil && !c.Over() {
+		return c, nil
+	}
+	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", p.c.fleet.socket(p.i))
+	if err != nil {
+		return nil, errUnreached{err}
+	}
+	c := jsonrpc.NewCaller(nc, 1<<24)
+	p.conns[p.next] = c
+	p.c.open.Add(1)
+	go func() {
+		defer p.c.open.Done()
+		_ = c.Run(ctx)
+	}()
+	return c, nil
+}
+
+// pick is the plain layer before the front ends: each in turn by chance, dead ones left out once that was noticed.
+func (c *callers) pick(rng *rand.Rand) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	notice := turn.Duration(c.s.Clients.Notice)
+	var alive []int
+	for i, since := range c.dead {
+		if since.IsZero() || time.Since(since) < notice {
+			alive = append(alive, i)
+		}
+	}
+	if len(alive) == 0 {
+		return rng.Intn(len(c.dead))
+	}
+	return alive[rng.Intn(len(alive))]
+}
+
+// front notes that a front end died or is back.
+func (c *callers) front(i int, dead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.dead[i] = (time.Time{}); dead {
+		c.dead[i] = time.Now()
+	}
+}
+
+// rateAt is the arrivals a second at a moment of the day, and the share that is for functions wanted once.
+func (c *callers) rateAt(at router.Time) (rate, once float64) {
+	rate = c.s.Load.Rate
+	for _, t := range c.s.Troubles {
+		if at < t.At || at >= t.At+t.For {
+			continue
+		}
+		switch t.Kind {
+		case "burst":
+			rate *= t.Size
+		case "scan":
+			once = t.Part
+		}
+	}
+	return rate, once
+}
+
+// run sends the day's load and waits until all is answered or given up.
+func (c *callers) run(ctx context.Context) {
+	rng := rand.New(rand.NewSource(c.s.Seed))
+	zipf := rand.NewZipf(rng, c.s.Load.Zipf, 1, uint64(c.s.Load.Functions-1))
+	length := turn.Duration(c.s.Length)
+	c.start = time.Now()
+	var rpcs sync.WaitGroup
+	at := time.Duration(0)
+	for n := 0; n < c.s.Load.Most && ctx.Err() == nil; n++ {
+		rate, once := c.rateAt(turn.Span(at))
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= length {
+			break
+		}
+		method := c.s.Load.Mix[len(c.s.Load.Mix)-1]
+		for x, i := rng.Float64(), 0; i < len(c.s.Load.Mix); i++ {
+			if x -= c.s.Load.Mix[i].Share; x < 0 {
+				method = c.s.Load.Mix[i]
+				break
+			}
+		}
+		function := fmt.Sprintf("%s-%d", method.Method, zipf.Uint64())
+		if rng.Float64() < once {
+			function = fmt.Sprintf("%s-once-%d", method.Method, n)
+		}
+		seed, due := rng.Int63(), at
+		if wait := time.Until(c.start.Add(at)); wait > 0 {
+			time.Sleep(wait)
+		}
+		rpcs.Add(1)
+		go func() {
+			defer rpcs.Done()
+			c.one(ctx, n, seed, due, method, function)
+		}()
+	}
+	rpcs.Wait()
+}
+
+// one is one client's RPC with its repeats.
+func (c *callers) one(ctx context.Context, n int, seed int64, due time.Duration, mix settings.Mix, function string) {
+	rng := rand.New(rand.NewSource(seed))
+	m := c.lookups[mix.Method]
+	began := c.start.Add(due)
+	deadline := began.Add(turn.Duration(m.Deadline))
+	token := fmt.Sprintf("t%d-%d", c.s.Seed, n)
+	outcome := "lost"
+	firstSent := time.Time{}
+	for try := 0; try <= c.s.Clients.Retries && ctx.Err() == nil; try++ {
+		left := time.Until(deadline)
+		if left <= 0 {
+			break
+		}
+		span := time.Duration(float64(turn.Duration(m.Deadline)) *
+			(c.s.Clients.TryShare + (1-c.s.Clients.TryShare)*rng.Float64()))
+		span = min(span, left)
+		mark := fmt.Sprintf("%d/%d", n, try)
+		if firstSent.IsZero() {
+			firstSent = time.Now()
+		}
+		var comeBack time.Duration
+		var sent bool
+		outcome, sent, comeBack = c.try(ctx, c.pick(rng), mark, token, function, mix, m, span, try > 0, rng)
+		if outcome == "ok" || outcome == "quit" {
+			break
+		}
+		// idempotent ones go again after any failure, tokened ones of one group within their window, others only
+		// after a denial or where nothing was sent
+		again := !sent || outcome == "denied" || m.Effect == router.Idempotent ||
+			m.Effect == router.Tokened && m.Group == "all" && time.Since(firstSent) < turn.Duration(m.Window)/2
+		if !again {
+			break
+		}
+		wait := turn.Duration(c.s.Clients.BackOff)
+		if comeBack > 0 && rng.Float64() < c.s.Clients.Heed {
+			wait = comeBack
+		}
+		select {
+		case <-time.After(time.Duration(float64(wait) * (0.5 + rng.Float64()))):
+		case <-ctx.Done():
+		}
+	}
+	took := time.Since(began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := min(int(due/time.Second), len(c.seconds)-1)
+	for _, t := range []*tally{c.methods[m.Name], c.seconds[at]} {
+		t.Asked++
+		t.GainAsked += m.Gain
+		switch outcome {
+		case "ok":
+			t.OK++
+			if took <= turn.Duration(m.Soft) {
+				t.GainKept += m.Gain
+			} else {
+				t.Late++
+				t.GainKept += m.Gain * m.LateShare
+			}
+			_ = t.latency.RecordValue(min(took.Microseconds(), 120e6))
+		case "denied":
+			t.Denied++
+		case "aborted":
+			t.Aborted++
+		default:
+			t.Lost++
+		}
+	}
+}
+
+// try sends one RPC and waits for its answer, for its time and some more: late answers are seen, too.
+func (c *callers) try(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
+	m *settings.Method, span time.Duration, repeat bool, rng *rand.Rand) (outcome string, sent bool, comeBack time.Duration) {
+	conn, err := c.pools[front].get(ctx)
+	if err != nil {
+		return "lost", false, 0
+	}
+	b := jsonrpc.AppendText([]byte(`{"function":`), function)
+	if mix.Customer != "" {
+		b = jsonrpc.AppendText(append(b, `,"customer":`...), mix.Customer)
+	}
+	if m.Effect == router.Tokened {
+		b = jsonrpc.AppendText(append(b, `,"token":`...), token)
+	}
+	if repeat {
+		b = append(b, `,"repeat":true`...)
+	}
+	ms := math.Floor(float64(span)/1e5) / 10
+	b = strconv.AppendFloat(append(b, `,"time_ms":`...), ms, 'f', 1, 64)
+	b = append(jsonrpc.AppendText(append(b, `,"payload":{"mark":`...), mark), "}}"...)
+	base := record.Record{Who: "client", FrontEnd: frontEnd(front), RPC: mark, Method: m.Name, Function: function,
+		Token: token, Time: ms}
+	keep := func(kind, outcome string) {
+		r := base
+		r.T, r.Kind, r.Outcome = time.Now().UnixNano(), kind, outcome
+		c.keep(r)
+	}
+	keep(record.Sent, "")
+	got := make(chan jsonrpc.Answer, 1)
+	conn.Ask(m.Name, b, func(a jsonrpc.Answer) {
+		// noted here, by the reader: also when nobody waits any more
+		if a.Err != nil {
+			keep(record.Lost, "")
+		} else {
+			keep(record.Answer, outcomeOf(a.Code))
+		}
+		got <- a
+	})
+	select {
+	case a := <-got:
+		if a.Err != nil {
+			return "lost", true, 0
+		}
+		if comeBackMs, is := jsonrpc.Number(jsontext.Value(jsonrpc.Member(a.Data, "come_back_ms"))); is {
+			comeBack = time.Duration(comeBackMs * float64(time.Millisecond))
+		}
+		return outcomeOf(a.Code), true, comeBack
+	case <-time.After(span):
+		return "lost", true, 0
+	case <-ctx.Done():
+		return "quit", true, 0
+	}
+}
+
+func outcomeOf(code int) string {
+	switch code {
+	case 0:
+		return "ok"
+	case clients.Denied:
+		return "denied"
+	case clients.Aborted:
+		return "aborted"
+	}
+	return "error " + strconv.Itoa(code)
+}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -173,10 +173,12 @@
 		m.finish(j, Answer{Code: full, Message: "it drains"})
 		return
 	case m.now < m.errorsUntil && m.rng.Float64() < m.errors:
+		fail := func(_, _ bool) { m.finish(j, Answer{Code: failed, Message: "it failed"}) }
 		if m.rng.Intn(2) == 0 {
-			m.world.Effect(j, false)
+			m.effect(j, fail) // an error proves nothing: the effect may have happened
+		} else {
+			fail(false, true)
 		}
-		m.finish(j, Answer{Code: failed, Message: "it failed"})
 		return
 	}
 	fn.lastUse = m.now
@@ -291,12 +293,24 @@
 	}
 }
 
-// ran ends an RPC's work: a tokened one asks first whether its effect has happened.
+// ran ends an RPC's work.
 func (m *Model) ran(j *Job) {
 	m.free++
+	m.effect(j, func(first, ok bool) {
+		if !ok {
+			m.leaveLane(j, Answer{Code: failed, Message: "its token can't be looked up"})
+			return
+		}
+		m.leaveLane(j, Answer{Repeat: !first})
+	})
+	m.dispatch()
+}
+
+// effect makes an RPC's effect happen; of a tokened one it asks first whether it has happened, and drops a repeat's.
+func (m *Model) effect(j *Job, then func(first, ok bool)) {
 	if j.work.Effect != router.Tokened || j.Token == "" {
 		m.world.Effect(j, false)
-		m.leaveLane(j, Answer{})
+		then(true, true)
 		return
 	}
 	group := j.work.Group
@@ -307,14 +321,11 @@
 		group += " " + m.set.Cell
 	}
 	m.world.Claim(group, j.Token, j.work.Window, func(first, ok bool) {
-		if !ok {
-			m.leaveLane(j, Answer{Code: failed, Message: "the group's memory of tokens is out of reach"})
-			return
+		if ok { // else the group's memory of tokens is out of reach, and nothing happens
+			m.world.Effect(j, !first)
 		}
-		m.world.Effect(j, !first)
-		m.leaveLane(j, Answer{Repeat: !first})
+		then(first, ok)
 	})
-	m.dispatch()
 }
 
 func (m *Model) leaveLane(j *Job, a Answer) {
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -124,7 +124,7 @@
 	case "roster.join":
 		name, state := member(params, "name"), member(params, "state")
 		now, unix := c.r.loop.Now(), time.Now().UnixMilli()
-		cold := jsontext.Value(rawMember(params, "cold")).Kind() == 't'
+		cold := jsontext.Value(jsonrpc.Member(params, "cold")).Kind() == 't'
 		c.r.loop.Post(func() {
 			if !slices.Contains(c.workers, name) {
 				c.workers = append(c.workers, name)
@@ -266,8 +266,8 @@
 // Asked implements jsonrpc.Peer.
 func (c *storeConn) Asked(id jsonrpc.ID, method string, params []byte) {
 	key := bytes.Clone(id)
-	usual, _ := jsonrpc.Number(jsontext.Value(rawMember(params, "usual_ms")))
-	window, _ := jsonrpc.Number(jsontext.Value(rawMember(params, "window_ms")))
+	usual, _ := jsonrpc.Number(jsontext.Value(jsonrpc.Member(params, "usual_ms")))
+	window, _ := jsonrpc.Number(jsontext.Value(jsonrpc.Member(params, "window_ms")))
 	token := member(params, "group") + "\x00" + member(params, "token")
 	c.s.loop.Post(func() {
 		switch method {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -295,6 +295,7 @@
 		w.keep(r)
 		j.Done = func(a Answer) {
 			delete(h.jobs, string(key))
+			w.keep(record.Record{Kind: record.Ended, Who: w.set.Name, FrontEnd: h.name, RPC: j.Mark, N: a.Code})
 			h.answer(key, &j, a)
 		}
 		w.loop.Post(func() {
@@ -359,14 +360,14 @@
 		h.c.Write(jsonrpc.AppendError(nil, id, a.Code, a.Message, append(b, '}')))
 		return
 	}
+	if a.Repeat {
+		b = append(b, `,"repeat":true`...)
+	}
 	b = jsonrpc.AppendText(append(b, `,"value":{"worker":`...), h.w.set.Name)
 	payload := j.Payload
 	if len(payload) == 0 {
 		payload = []byte("null")
 	}
-	if a.Repeat {
-		b = append(b, `,"repeat":true`...)
-	}
 	b = append(append(b, `,"payload":`...), payload...)
 	h.c.Write(jsonrpc.AppendResult(nil, id, append(b, "}}"...)))
 }
@@ -449,7 +450,7 @@
 func (c *control) Asked(id jsonrpc.ID, method string, params []byte) {
 	w, key := c.w, bytes.Clone(id)
 	number := func(name string) float64 {
-		n, _ := jsonrpc.Number(jsontext.Value(rawMember(params, name)))
+		n, _ := jsonrpc.Number(jsonrpc.Member(params, name))
 		return n
 	}
 	span := router.Time(number("for_ms") * 10)
@@ -504,20 +505,7 @@
 	return rng.Float64() < share
 }
 
-func rawMember(object []byte, name string) (value []byte) {
-	if len(object) == 0 || object[0] != '{' {
-		return nil
-	}
-	_ = jsonrpc.Members(object, func(n []byte, v jsontext.Value) error {
-		if string(n) == name {
-			value = v
-		}
-		return nil
-	})
-	return value
-}
-
 func member(object []byte, name string) string {
-	text, _ := jsonrpc.Text(rawMember(object, name))
+	text, _ := jsonrpc.Text(jsonrpc.Member(object, name))
 	return text
 }
