A schema for all settings, written from the tags by which they are read

Settings are read strictly by tags of Go structs; the schema comes from the same tags (mallowlanding schema), so that the two can't part.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -20,6 +20,7 @@
 	"mallowlanding/internal/demo"
 	"mallowlanding/internal/gateway"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/measure"
 	"mallowlanding/internal/rehearse"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -42,6 +43,8 @@
 	Call     callCmd     `cmd:"" help:"Send one RPC and print its result."`
 	Demo     demoCmd     `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
+	Schema   schemaCmd   `cmd:"" help:"Print the XML schema of the settings."`
+	Measure  measureCmd  `cmd:"" help:"Time one front end on warm copies beside a client that speaks to the workers directly."`
 }
 
 // misuse is an error of whoever called.
@@ -240,3 +243,29 @@
 	}
 	return rehearse.Run(e.ctx, s, c.Keep, e.out, e.log)
 }
+
+type measureCmd struct {
+	Span      time.Duration `default:"5s" help:"How long each measurement takes."`
+	Workers   int           `default:"4" help:"Stand-in workers."`
+	Cores     int           `default:"2" help:"Cores that the front end may use."`
+	Payload   int           `default:"128" help:"Bytes of each payload."`
+	Functions int           `default:"4" help:"Functions asked for in turn."`
+}
+
+// Run measures.
+func (c *measureCmd) Run(e *env) error {
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return measure.Run(e.ctx, exe, measure.Options{Span: c.Span, Workers: c.Workers, Cores: c.Cores, Payload: c.Payload,
+		Functions: c.Functions}, e.out)
+}
+
+type schemaCmd struct{}
+
+// Run prints the schema.
+func (c *schemaCmd) Run(e *env) error {
+	_, err := e.out.Write(settings.Schema())
+	return err
+}
--- a/internal/settings/strict.go
+++ b/internal/settings/strict.go
@@ -22,7 +22,7 @@
 //	def:"value"   its value where it is left out
 //	min, max      bounds of a number, both allowed; words: the words allowed, by blanks
 //
-// Whatever a struct does not name is an error. A struct may have a Pos, which takes the element's place.
+// Children stand in the fields' order. Whatever a struct does not name is an error. A struct may have a Pos, which takes the element's place.
 
 // Pos is a place in a settings file.
 type Pos struct {
@@ -130,7 +130,7 @@
 		}
 		attrs[a.Name.Local] = a.Value
 	}
-	known := map[string]reflect.Value{}
+	known, places, last := map[string]reflect.Value{}, map[string]int{}, ""
 	for i := range v.NumField() {
 		field, to := v.Type().Field(i), v.Field(i)
 		if field.Type == reflect.TypeFor[Pos]() {
@@ -153,7 +153,7 @@
 				return e.pos.Errorf("attribute %q of %q: %v", name, e.name, err)
 			}
 		} else if name := field.Tag.Get("e"); name != "" {
-			known[name] = to
+			known[name], places[name] = to, i
 		}
 	}
 	for _, a := range e.attrs {
@@ -166,6 +166,10 @@
 		if !isKnown {
 			return child.pos.Errorf("unknown element %q in %q", child.name, e.name)
 		}
+		if last != "" && places[child.name] < places[last] {
+			return child.pos.Errorf("element %q must stand before %q in %q", child.name, last, e.name)
+		}
+		last = child.name
 		if to.Kind() == reflect.Slice {
 			item := reflect.New(to.Type().Elem()).Elem()
 			if err := child.into(item); err != nil {
@@ -207,8 +211,9 @@
 
 func assign(to reflect.Value, text string, tag reflect.StructTag) error {
 	number := func(bits string) (float64, error) {
+		text = strings.Trim(text, " \t\r\n")
 		n, err := strconv.ParseFloat(text, 64)
-		if err != nil || math.IsInf(n, 0) || math.IsNaN(n) || strings.ContainsAny(text, "xXpP_") {
+		if err != nil || math.IsInf(n, 0) || strings.Trim(text, "+-.0123456789") != "" {
 			return 0, fmt.Errorf("%.40q is not a %s", text, bits)
 		}
 		for name, over := range map[string]bool{"min": false, "max": true} {
@@ -253,7 +258,7 @@
 		if err != nil {
 			return err
 		}
-		if n != math.Trunc(n) || strings.ContainsAny(text, ".eE") {
+		if n != math.Trunc(n) || strings.Contains(text, ".") {
 			return fmt.Errorf("%.40q is not a whole number", text)
 		}
 		to.SetInt(int64(n))
