--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -409,8 +409,12 @@
 	}
 	left -= turn.Span(time.Since(came)) // what passed on the way here
 	c.open[p] = true
+	var client engine.Client = p
+	if c.s.o.Wrap != nil {
+		client = c.s.o.Wrap(p)
+	}
 	rpc := c.s.engine.Take(router.MethodID(m), method, router.CustomerID(c.s.customers[ps.customer]), ps.function,
-		c.s.o.Function(m, ps.function), ps.token, left, ps.repeat, ps.payload, p)
+		c.s.o.Function(m, ps.function), ps.token, left, ps.repeat, ps.payload, client)
 	p.rpc = rpc
 }
 
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -42,6 +42,7 @@
 	Methods   []engine.Method
 	Customers []string // none: RPCs name no customer
 	Function  func(method int, name string) engine.Function
+	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
 	Log       zerolog.Logger
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,9 +22,21 @@
 // look is how often a leaving front end looks whether all is answered.
 const look = 5 * time.Millisecond
 
+// Outgoing changes what goes out of a front end. It is there for tests that must see a wrong front end caught; nil
+// members change nothing.
+type Outgoing struct {
+	Link   func(worker string, l engine.Link) engine.Link
+	Client func(c engine.Client) engine.Client
+}
+
 // Serve runs a front end until the context ends, and then takes no more RPCs, answers those that it holds, and
 // leaves: within the settings' time after the end. Ready is called once RPCs are taken.
 func Serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, ready func()) error {
+	return ServeWith(ctx, f, log, ready, Outgoing{})
+}
+
+// ServeWith is Serve with what goes out changed.
+func ServeWith(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, ready func(), o Outgoing) error {
 	log = log.With().Str("front_end", f.Name).Logger()
 	mode, err := strconv.ParseUint(f.Clients.Mode, 8, 32)
 	if err != nil {
@@ -34,10 +46,11 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, f, log, listener, ready)
+	return serve(ctx, f, log, listener, ready, o)
 }
 
-func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener net.Listener, ready func()) error {
+func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener net.Listener, ready func(),
+	o Outgoing) error {
 	loop := turn.NewLoop()
 	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
 		Log: func(text string) { log.Info().Str("from", "module").Msg(text) }})
@@ -53,7 +66,7 @@
 	ls := links.New(rest, loop, e, links.Options{FrontEnd: f.Name,
 		ConnectTimeOut: turn.Duration(f.Service.CallOuts.ConnectTimeOut), ValueBytes: f.Workers.ValueBytes,
 		SendBytes: f.Workers.SendBytes, RedialMin: turn.Duration(f.Workers.RedialMin),
-		RedialMax: turn.Duration(f.Workers.RedialMax), Log: log})
+		RedialMax: turn.Duration(f.Workers.RedialMax), Wrap: o.Link, Log: log})
 	fo := follow.New(loop, e, ls, follow.Options{FrontEnd: f.Name, Socket: f.Roster.Socket, Cache: f.Roster.Cache,
 		Zone: f.Service.ZoneID, Cell: f.Service.CellID, Kind: f.Service.KindID, Log: log})
 	customers := make([]string, len(f.Service.Customers))
@@ -64,7 +77,8 @@
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
 			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
-		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(), Log: log})
+		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(),
+		Wrap: o.Client, Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
 	loopGroup.Go(func() error { loop.Run(loopCtx, e); return nil })
@@ -116,9 +130,9 @@
 	_ = frontGroup.Wait()
 	endRest()
 	_ = restGroup.Wait()
-	ls.Wait()
 	endLoop()
 	_ = loopGroup.Wait()
+	ls.Wait()
 	log.Info().Int("unanswered", left).Dur("after", time.Since(began)).Uint64("taken", c.Taken).Uint64("ok", c.OK).
 		Uint64("denied", c.Denied).Uint64("aborted", c.Aborted).Uint64("left", c.Left).Msg("front end has left")
 	return err
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -115,6 +115,7 @@
 	wait  map[string]func(Answer)
 	ended bool
 	Other func(method string, params []byte) // notifications that come; nil: none are expected
+	Watch bool                               // further answers to one question are passed on, too
 }
 
 // NewCaller takes a connection; Run serves it.
@@ -186,7 +187,9 @@
 func (c *Caller) Answered(id ID, result []byte, code int, message string, data []byte) {
 	c.mu.Lock()
 	f := c.wait[string(id)]
-	delete(c.wait, string(id))
+	if !c.Watch {
+		delete(c.wait, string(id))
+	}
 	c.mu.Unlock()
 	if f != nil {
 		f(Answer{Result: bytes.Clone(result), Code: code, Message: message, Data: bytes.Clone(data)})
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -38,11 +38,12 @@
 // Options are the settings of all links of a front end.
 type Options struct {
 	FrontEnd       string
-	ConnectTimeOut time.Duration // a worker that has not said client.ready by then is out of reach
-	ValueBytes     int           // bytes of one JSON value from a worker
-	SendBytes      int           // bytes that wait for a worker that reads slowly; call-outs beyond are not taken
-	RedialMin      time.Duration // first pause before a new connection, doubling
-	RedialMax      time.Duration // last one
+	ConnectTimeOut time.Duration                                  // a worker that has not said client.ready by then is out of reach
+	ValueBytes     int                                            // bytes of one JSON value from a worker
+	SendBytes      int                                            // bytes that wait for a worker that reads slowly; call-outs beyond are not taken
+	RedialMin      time.Duration                                  // first pause before a new connection, doubling
+	RedialMax      time.Duration                                  // last one
+	Wrap           func(worker string, l engine.Link) engine.Link // nil: links go to the engine as they are
 	Log            zerolog.Logger
 }
 
@@ -77,10 +78,17 @@
 	l = &Link{s: s, name: name, socket: socket, id: id, wanted: true, sent: map[string]flight{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	s.links[name] = l
-	s.engine.Connect(name, l)
+	s.engine.Connect(name, s.wrapped(l))
 	s.group.Go(func() error { l.run(); return nil })
 }
 
+func (s *Set) wrapped(l *Link) engine.Link {
+	if s.o.Wrap != nil {
+		return s.o.Wrap(l.name, l)
+	}
+	return l
+}
+
 // Unwant lets go of the link once nothing is out on it.
 func (s *Set) Unwant(name string) {
 	if l := s.links[name]; l != nil {
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -8,6 +8,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -88,6 +89,7 @@
 		return nil, errUnreached{err}
 	}
 	c := jsonrpc.NewCaller(nc, 1<<24)
+	c.Watch = true
 	p.conns[p.next] = c
 	p.c.open.Add(1)
 	go func() {
@@ -277,14 +279,19 @@
 	}
 	keep(record.Sent, "")
 	got := make(chan jsonrpc.Answer, 1)
+	var answers atomic.Int32
 	conn.Ask(m.Name, b, func(a jsonrpc.Answer) {
-		// noted here, by the reader: also when nobody waits any more
-		if a.Err != nil {
-			keep(record.Lost, "")
-		} else {
+		// noted here, by the reader: also when nobody waits any more, and answers beyond the first
+		switch answered := answers.Add(1) > 1; {
+		case a.Err == nil:
 			keep(record.Answer, outcomeOf(a.Code))
+		case !answered:
+			keep(record.Lost, "")
+		}
+		select {
+		case got <- a:
+		default:
 		}
-		got <- a
 	})
 	select {
 	case a := <-got:
