--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,12 +28,14 @@
 //
 //	set ATTRIBUTE=VALUE ...   of the element clients; functions.ATTRIBUTE and methods.ATTRIBUTE of those
 //	roster up|down            it serves, or is away
-//	worker W [mute]           it serves; mute: it accepts and says nothing
+//	worker W [mute|deaf]      it serves; mute: it accepts and says nothing; deaf: it is ready and reads nothing
 //	list W=STATE ...          the roster tells the whole list, and has it acknowledged; list-again: the same list twice
 //	changes W=STATE ...       the roster tells changes
 //	start                     the front end runs; it runs already at the first step of a client
 //	stop | left               the front end is told to stop; it has left
-//	C dials                   a client connects
+//	C dials [deaf]            a client connects; deaf: it reads nothing until 'C reads'
+//	C >* N TEXT | C <* N      it sends TEXT N times, and goes on meanwhile; it gets N lines
+//	C cut                     it gets the end of the stream, whatever comes before
 //	X > TEXT                  X sends TEXT and a line's end; X >> "GO STRING" sends it as it is
 //	X < TEXT                  the next line that X gets; "*" stands for any JSON value; 'headers TEXT': behind headers
 //	W < METHOD [$ID]          the next request or notification that the worker gets, pings passed over; binds its id
@@ -42,7 +44,8 @@
 //	W stops                   the worker closes all and serves no more
 //	wait MS
 //
-// $ID in a TEXT is the id that was bound.
+// $ID in a TEXT is the id that was bound; $BIG a string of a million bytes,
+// $MANY four thousand requests with commas between.
 func TestConversations(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -76,7 +79,13 @@
 
 func newPeer(nc net.Conn) *peer {
 	p := &peer{nc: nc, lines: make(chan string, 1<<16)}
+	p.read()
+	return p
+}
+
+func (p *peer) read() {
 	go func() {
+		nc := p.nc
 		defer close(p.lines)
 		for b := bufio.NewReader(nc); ; {
 			line, err := b.ReadString('\n')
@@ -94,7 +103,6 @@
 			}
 		}
 	}()
-	return p
 }
 
 func (p *peer) next(wait time.Duration) (string, error) {
@@ -117,7 +125,7 @@
 	came  chan *peer
 }
 
-func serveScript(path, hello string) (*server, error) {
+func serveScript(path, hello string, deaf bool) (*server, error) {
 	l, err := net.Listen("unix", path)
 	if err != nil {
 		return nil, err
@@ -132,7 +140,10 @@
 			if hello != "" {
 				_, _ = io.WriteString(nc, hello+"\n")
 			}
-			p := newPeer(nc)
+			p := &peer{nc: nc, lines: make(chan string, 1<<16)}
+			if !deaf {
+				p.read()
+			}
 			s.mu.Lock()
 			s.conns = append(s.conns, p)
 			s.mu.Unlock()
@@ -175,7 +186,8 @@
 	}
 	defer os.RemoveAll(dir)
 	k := &talk{dir: dir, set: map[string]string{}, peers: map[string]*peer{}, servers: map[string]*server{},
-		names: map[string]string{}}
+		names: map[string]string{"$BIG": `"` + strings.Repeat("x", 1e6) + `"`,
+			"$MANY": strings.Repeat(`{"jsonrpc":"2.0","id":1,"method":"none"},`, 4000) + "1"}}
 	defer k.end(t)
 	for i, line := range strings.Split(steps, "\n") {
 		if line = strings.TrimSpace(line); line == "" || line[0] == '#' {
@@ -279,10 +291,11 @@
 		return nil
 	case "worker":
 		hello := fmt.Sprintf(`{"jsonrpc":"2.0","method":"client.ready","params":{"worker":%q,"protocol":1}}`, f[1])
-		if len(f) > 2 {
+		deaf := len(f) > 2 && f[2] == "deaf"
+		if len(f) > 2 && !deaf {
 			hello = ""
 		}
-		s, err := serveScript(k.path(f[1]), hello)
+		s, err := serveScript(k.path(f[1]), hello, deaf)
 		k.servers[f[1]] = s
 		return err
 	case "roster":
@@ -294,7 +307,7 @@
 			k.servers["roster"].stop()
 			return nil
 		}
-		s, err := serveScript(k.path("roster"), "")
+		s, err := serveScript(k.path("roster"), "", false)
 		k.servers["roster"] = s
 		return err
 	case "list", "list-again", "changes":
@@ -314,7 +327,10 @@
 	if f[1] == "dials" {
 		nc, err := net.Dial("unix", k.path("front"))
 		if err == nil {
-			k.peers[f[0]] = newPeer(nc)
+			k.peers[f[0]] = &peer{nc: nc, lines: make(chan string, 1<<16)}
+			if len(f) == 2 {
+				k.peers[f[0]].read()
+			}
 		}
 		return err
 	}
@@ -361,6 +377,32 @@
 			err = same(got, rest())
 		}
 		return err
+	case "reads":
+		p.read()
+		return nil
+	case ">*":
+		n, err := strconv.Atoi(f[2])
+		text := strings.TrimSpace(strings.TrimPrefix(rest(), f[2]))
+		go func() { // it may have to wait for its answers to be read
+			for i := 0; i < n; i++ {
+				_, _ = io.WriteString(p.nc, text+"\n")
+			}
+		}()
+		return err
+	case "<*":
+		n, err := strconv.Atoi(f[2])
+		for i := 0; i < n && err == nil; i++ {
+			_, err = p.next(patience)
+		}
+		return err
+	case "cut":
+		for {
+			if _, err := p.next(patience); err == io.EOF {
+				return nil
+			} else if err != nil {
+				return err
+			}
+		}
 	case "nothing":
 		n, err := strconv.Atoi(f[2])
 		if err != nil {
--- a/internal/settings/strict.go
+++ b/internal/settings/strict.go
@@ -90,7 +90,8 @@
 			open = open[:len(open)-1]
 		case xml.CharData:
 			if text := strings.TrimSpace(string(t)); text != "" {
-				return nil, pos.Errorf("text %.40q where none belongs", text)
+				before, _, _ := strings.Cut(string(t), text)
+				return nil, Pos{file, line + strings.Count(before, "\n")}.Errorf("text %.40q where none belongs", text)
 			}
 		case xml.Directive:
 			return nil, pos.Errorf("a document type declaration; the settings have none")
