A turn's answers and call-outs leave at its end, without a change of goroutines

Each turn woke a writer goroutine for each connection that it touched. What a turn made is now written at its end as far as sockets take it at once; the writers keep the rest. Workers' answers are decoded by their readers, once, not in the turn.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -250,6 +250,7 @@
 	Cores     int           `default:"2" help:"Cores that the front end may use."`
 	Payload   int           `default:"128" help:"Bytes of each payload."`
 	Functions int           `default:"4" help:"Functions asked for in turn."`
+	Work      time.Duration `default:"0s" help:"What an RPC takes at a worker."`
 	Rate      float64       `help:"RPCs a second of the open loop; by default half of what the front end reached."`
 }
 
@@ -260,7 +261,7 @@
 		return err
 	}
 	return measure.Run(e.ctx, exe, measure.Options{Span: c.Span, Workers: c.Workers, Cores: c.Cores, Payload: c.Payload,
-		Functions: c.Functions, Rate: c.Rate}, e.out)
+		Functions: c.Functions, Rate: c.Rate, Work: c.Work}, e.out)
 }
 
 type schemaCmd struct{}
--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -17,6 +17,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/sock"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 
@@ -30,6 +31,7 @@
 type conn struct {
 	s       *Server
 	nc      net.Conn
+	now     sock.Writer
 	dec     jsonrpc.Decoder
 	headers atomic.Bool
 	turns   chan struct{} // room for RPCs that are on their way to the loop
@@ -42,8 +44,9 @@
 	more    *sync.Cond
 
 	// the loop's
-	open map[*pending]bool
-	gone bool
+	open  map[*pending]bool
+	gone  bool
+	dirty bool // it has answers of this turn
 }
 
 // pending is one RPC of the connection, or one part of a batch: where its answer goes.
@@ -63,7 +66,7 @@
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{}}
+	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{}}
 	c.more = sync.NewCond(&c.mu)
 	return c
 }
@@ -169,6 +172,33 @@
 	c.mu.Unlock()
 }
 
+// sayLater hands over a value that leaves at the turn's end; in a turn.
+func (c *conn) sayLater(value []byte) {
+	c.mu.Lock()
+	if !c.ended {
+		c.out = jsonrpc.AppendFrame(c.out, value, c.headers.Load())
+	}
+	c.mu.Unlock()
+	if !c.dirty {
+		c.dirty = true
+		c.s.dirty = append(c.s.dirty, c)
+	}
+}
+
+// flush writes what the socket takes at once; the rest is the writer's. It saves a change of goroutines for each turn.
+func (c *conn) flush() {
+	c.dirty = false
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing == 0 && len(c.out) > 0 && !c.ended {
+		n := c.now.Try(c.out)
+		c.out = c.out[:copy(c.out, c.out[n:])]
+	}
+	if len(c.out) > 0 {
+		c.more.Broadcast()
+	}
+}
+
 func (c *conn) write() {
 	var spare []byte
 	for {
@@ -264,7 +294,7 @@
 }
 
 // answer sends what append makes; notifications get none.
-func (p *pending) answer(append func(out []byte, id jsonrpc.ID) []byte) {
+func (p *pending) answer(inTurn bool, append func(out []byte, id jsonrpc.ID) []byte) {
 	var value []byte
 	if len(p.id) > 0 {
 		value = append(nil, p.id)
@@ -272,13 +302,17 @@
 	switch {
 	case p.batch != nil:
 		p.batch.add(value)
+	case value != nil && inTurn:
+		p.c.sayLater(value)
 	case value != nil:
 		p.c.say(value)
 	}
 }
 
 func (p *pending) fail(code int, message string) {
-	p.answer(func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendError(out, id, code, message, nil) })
+	p.answer(false, func(out []byte, id jsonrpc.ID) []byte {
+		return jsonrpc.AppendError(out, id, code, message, nil)
+	})
 }
 
 // Broken implements jsonrpc.Peer.
@@ -421,7 +455,7 @@
 // OK implements engine.Client.
 func (p *pending) OK(result []byte) {
 	delete(p.c.open, p)
-	p.answer(func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
 }
 
 // Denied implements engine.Client.
@@ -431,13 +465,13 @@
 }
 
 func (p *pending) deny(message string, comeBack router.Time) {
-	p.answer(func(out []byte, id jsonrpc.ID) []byte { return appendDenied(out, id, message, comeBack) })
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return appendDenied(out, id, message, comeBack) })
 }
 
 // Aborted implements engine.Client.
 func (p *pending) Aborted(cause string) {
 	delete(p.c.open, p)
-	p.answer(func(out []byte, id jsonrpc.ID) []byte {
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
 		var data []byte
 		if cause != "" {
 			data = append(jsonrpc.AppendText([]byte(`{"cause":`), cause), '}')
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -46,7 +46,7 @@
 	Log       zerolog.Logger
 }
 
-// Server takes connections. The last field belongs to the loop's goroutine.
+// Server takes connections. The last two fields belong to the loop's goroutine.
 type Server struct {
 	o         Options
 	loop      *turn.Loop
@@ -57,6 +57,7 @@
 	conns     map[*conn]bool
 
 	stopping bool
+	dirty    []*conn // with answers of this turn
 }
 
 // New makes a server for an engine that loop drives.
@@ -156,6 +157,15 @@
 // Drain has RPCs that come from now on denied; it may be called in a turn alone.
 func (s *Server) Drain() { s.stopping = true }
 
+// Flush sends the turn's answers; it may be called in a turn alone, at its end.
+func (s *Server) Flush() {
+	for i, c := range s.dirty {
+		c.flush()
+		s.dirty[i] = nil
+	}
+	s.dirty = s.dirty[:0]
+}
+
 // Flushed tells whether all answers given so far have been written, or can't be any more.
 func (s *Server) Flushed() bool {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,20 @@
 // look is how often a leaving front end looks whether all is answered.
 const look = 5 * time.Millisecond
 
+// machine is an engine whose turns end with what they made going out.
+type machine struct {
+	*engine.Engine
+	links   *links.Set
+	clients *clients.Server
+}
+
+// End ends a turn.
+func (m *machine) End() {
+	m.Engine.End()
+	m.links.Flush()
+	m.clients.Flush()
+}
+
 // Outgoing changes what goes out of a front end. It is there for tests that must see a wrong front end caught; nil
 // members change nothing.
 type Outgoing struct {
@@ -81,7 +95,7 @@
 		Wrap: o.Client, Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
-	loopGroup.Go(func() error { loop.Run(loopCtx, e); return nil })
+	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, srv}); return nil })
 	restGroup.Go(func() error { return fo.Run(rest) })
 	restGroup.Go(func() error { return fo.Keep(rest) })
 	failed := make(chan error, 1)
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -5,6 +5,7 @@
 package links
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -19,6 +20,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/sock"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
@@ -55,6 +57,7 @@
 	links  map[string]*Link
 	group  errgroup.Group
 	ctx    context.Context
+	dirty  []*stream // written to in this turn
 }
 
 // New makes a set whose links live until the context ends.
@@ -101,7 +104,18 @@
 type flight struct {
 	at     uint64
 	ended  func(o router.Outcome, cause string)
-	answer func(result []byte, code int, message string, data []byte)
+	answer func(a answer)
+}
+
+// answer is a worker's answer as the reader decoded it; data of an error and results have the same members.
+type answer struct {
+	code    int
+	message string
+	value   []byte
+	warmth  router.Warmth
+	crowd   int
+	report  []float64
+	copies  int
 }
 
 // Link is the way to one worker.
@@ -121,13 +135,16 @@
 
 // stream is what goes out on one connection; nothing handed to it ever goes out on another.
 type stream struct {
+	now   sock.Writer
 	total uint64 // the loop's: bytes handed to the writer
+	dirty bool   // the loop's: written to in this turn
 
 	mu      sync.Mutex
 	out     []byte
+	writing bool // the writer has taken bytes
 	ended   bool
 	more    *sync.Cond
-	written uint64 // bytes that the socket took; read once the writer has ended
+	written uint64 // bytes that the socket took
 }
 
 type heldAsk struct{ ask, expire func() }
@@ -157,9 +174,7 @@
 		ended: func(o router.Outcome, cause string) {
 			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause))
 		},
-		answer: func(result []byte, code int, message string, data []byte) {
-			l.answered(id, result, code, message, data)
-		},
+		answer: func(a answer) { l.answered(id, a) },
 	})
 }
 
@@ -183,23 +198,15 @@
 	b = append(strconv.AppendInt(append(b, `,"copies":`...), int64(copies), 10), '}')
 	l.ask(`"o`+strconv.FormatUint(uint64(id), 10)+`"`, "host.hold", b, flight{
 		ended: func(o router.Outcome, _ string) { l.s.engine.Held(id, o, 0) },
-		answer: func(result []byte, code int, _ string, data []byte) {
-			source, o := result, router.OK
-			switch code {
+		answer: func(a answer) {
+			o := router.Errored
+			switch a.code {
 			case 0:
+				o = router.OK
 			case Full:
-				source, o = data, router.Full
-			default:
-				source, o = data, router.Errored
+				o = router.Full
 			}
-			stand := 0.0
-			_ = jsonrpc.Members(source, func(name []byte, v jsontext.Value) error {
-				if string(name) == "copies" {
-					stand, _ = jsonrpc.Number(v)
-				}
-				return nil
-			})
-			l.s.engine.Held(id, o, int(min(max(stand, 0), 1000)))
+			l.s.engine.Held(id, o, a.copies)
 		},
 	})
 }
@@ -208,13 +215,12 @@
 func (l *Link) Check(id engine.CheckID) {
 	l.ask(`"c`+strconv.FormatUint(uint64(id), 10)+`"`, "host.ping", nil, flight{
 		ended: func(o router.Outcome, _ string) { l.s.engine.Checked(id, o, nil) },
-		answer: func(result []byte, code int, _ string, _ []byte) {
-			if code != 0 {
+		answer: func(a answer) {
+			if a.code != 0 {
 				l.s.engine.Checked(id, router.Errored, nil)
 				return
 			}
-			_, _, report := readRun(result)
-			l.s.engine.Checked(id, router.OK, report)
+			l.s.engine.Checked(id, router.OK, a.report)
 		},
 	})
 }
@@ -246,11 +252,18 @@
 	}
 	f.at = l.up.total
 	l.sent[id] = f
-	l.up.write(jsonrpc.AppendRequest(nil, jsonrpc.ID(id), method, params))
+	l.write(jsonrpc.AppendRequest(nil, jsonrpc.ID(id), method, params))
 }
 
 func (l *Link) tell(method string, params []byte) {
-	l.up.write(jsonrpc.AppendRequest(nil, nil, method, params))
+	l.write(jsonrpc.AppendRequest(nil, nil, method, params))
+}
+
+func (l *Link) write(value []byte) {
+	if l.up.write(value); !l.up.dirty {
+		l.up.dirty = true
+		l.s.dirty = append(l.s.dirty, l.up)
+	}
 }
 
 func (st *stream) waiting() int {
@@ -264,30 +277,43 @@
 	before := len(st.out)
 	st.out = jsonrpc.AppendFrame(st.out, value, false)
 	st.total += uint64(len(st.out) - before)
-	st.more.Signal()
 	st.mu.Unlock()
 }
 
+// Flush sends what this turn wrote; it may be called in a turn alone, at its end.
+func (s *Set) Flush() {
+	for i, st := range s.dirty {
+		st.flush()
+		s.dirty[i] = nil
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// flush writes what the socket takes at once; the rest is the writer's. It saves a change of goroutines for each turn.
+func (st *stream) flush() {
+	st.dirty = false
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.writing && !st.ended && len(st.out) > 0 {
+		n := st.now.Try(st.out)
+		st.written += uint64(n)
+		st.out = st.out[:copy(st.out, st.out[n:])]
+	}
+	if len(st.out) > 0 {
+		st.more.Signal()
+	}
+}
+
 // answered hands a call-out's answer to the engine.
-func (l *Link) answered(id engine.CallOutID, result []byte, code int, message string, data []byte) {
-	if code == 0 {
-		var value []byte
-		warmth, crowd, report := readRun(result)
-		_ = jsonrpc.Members(result, func(name []byte, v jsontext.Value) error {
-			if string(name) == "value" {
-				value = v
-			}
-			return nil
-		})
-		if value == nil {
-			value = []byte("null")
+func (l *Link) answered(id engine.CallOutID, a answer) {
+	o := router.Errored // also for codes that we don't know: they prove nothing
+	switch a.code {
+	case 0:
+		if a.value == nil {
+			a.value = []byte("null")
 		}
-		l.s.engine.Answered(id, l.id, router.OK, warmth, crowd, report, value)
+		l.s.engine.Answered(id, l.id, router.OK, a.warmth, a.crowd, a.report, a.value)
 		return
-	}
-	warmth, crowd, report := readRun(data)
-	o := router.Errored // also for codes that we don't know: they prove nothing
-	switch code {
 	case Full:
 		o = router.Full
 	case Missed:
@@ -295,34 +321,38 @@
 	case CalledOff:
 		o = router.CalledOff
 	}
-	if message == "" {
-		message = "error " + strconv.Itoa(code)
+	if a.message == "" {
+		a.message = "error " + strconv.Itoa(a.code)
 	}
-	l.s.engine.Answered(id, l.id, o, warmth, crowd, report, []byte(l.name+": "+message))
+	l.s.engine.Answered(id, l.id, o, a.warmth, a.crowd, a.report, []byte(l.name+": "+a.message))
 }
 
 var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad,
 	"joined": router.JoinedLoad, "load failed": router.LoadFailed}
 
-// readRun reads what an answer tells besides its value.
-func readRun(object []byte) (warmth router.Warmth, crowd int, report []float64) {
+// read takes what an answer's object tells.
+func (a *answer) read(object []byte) {
 	if len(object) == 0 || object[0] != '{' {
 		return
 	}
 	_ = jsonrpc.Members(object, func(name []byte, v jsontext.Value) error {
 		switch string(name) {
+		case "value":
+			a.value = bytes.Clone(v)
 		case "warmth":
 			word, _ := jsonrpc.Text(v)
-			warmth = warmths[word]
+			a.warmth = warmths[word]
 		case "crowd":
 			n, _ := jsonrpc.Number(v)
-			crowd = int(min(max(n, 0), 1e6))
+			a.crowd = int(min(max(n, 0), 1e6))
 		case "report":
-			report, _ = jsonrpc.Numbers(v)
+			a.report, _ = jsonrpc.Numbers(v)
+		case "copies":
+			n, _ := jsonrpc.Number(v)
+			a.copies = int(min(max(n, 0), 1000))
 		}
 		return nil
 	})
-	return
 }
 
 // run keeps a connection up until the link's context ends.
@@ -357,7 +387,7 @@
 	}
 	stop := context.AfterFunc(l.ctx, func() { nc.Close() })
 	defer stop()
-	st := &stream{}
+	st := &stream{now: sock.NewWriter(nc)}
 	st.more = sync.NewCond(&st.mu)
 	p := &peer{l: l, nc: nc, st: st}
 	if err := nc.SetReadDeadline(time.Now().Add(l.s.o.ConnectTimeOut)); err != nil {
@@ -401,10 +431,13 @@
 			return
 		}
 		out := st.out
-		st.out = spare[:0]
+		st.out, st.writing = spare[:0], true
 		st.mu.Unlock()
 		n, err := nc.Write(out)
+		st.mu.Lock()
 		st.written += uint64(n)
+		st.writing = false
+		st.mu.Unlock()
 		if err != nil {
 			nc.Close()
 			return
@@ -498,9 +531,10 @@
 
 // Answered implements jsonrpc.Peer.
 func (p *peer) Answered(id jsonrpc.ID, result []byte, code int, message string, data []byte) {
-	l := p.l
-	key, both := string(id), append(append([]byte(nil), result...), data...)
-	result, data = both[:len(result):len(result)], both[len(result):]
+	l, key := p.l, string(id)
+	a := answer{code: code, message: message}
+	a.read(result)
+	a.read(data)
 	l.s.loop.Post(func() {
 		f, out := l.sent[key]
 		if !out {
@@ -508,7 +542,7 @@
 			return
 		}
 		delete(l.sent, key)
-		f.answer(result, code, message, data)
+		f.answer(a)
 		l.retire()
 	})
 }
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -32,7 +32,8 @@
 	Cores     int // that the front end may use
 	Payload   int // bytes
 	Functions int
-	Rate      float64 // RPCs a second of the open loop; 0: half of what the front end reached
+	Work      time.Duration // of each RPC at a worker
+	Rate      float64       // RPCs a second of the open loop; 0: half of what the front end reached
 }
 
 const (
@@ -103,8 +104,8 @@
 	w := table.NewWriter()
 	w.SetOutputMirror(out)
 	w.SetStyle(table.StyleLight)
-	w.SetTitle("one front end on %d cores, %d stand-in workers whose work takes no time, payload of %d bytes", o.Cores,
-		o.Workers, o.Payload)
+	w.SetTitle("one front end on %d cores, %d stand-in workers whose work takes %v, payload of %d bytes", o.Cores,
+		o.Workers, o.Work, o.Payload)
 	w.AppendHeader(table.Row{"way", "load", "RPCs/s", "not ok", "p50 us", "p99 us", "p99.9 us"})
 	row := func(name, load string, r result) {
 		w.AppendRow(table.Row{name, load, fmt.Sprintf("%.0f", r.rate), r.failed, r.h.ValueAtQuantile(50),
@@ -112,7 +113,7 @@
 	}
 	most := map[string]result{}
 	for _, y := range []way{direct, front} {
-		y.closed(ctx, 1, 2*time.Second, o) // warm: loads take part of a second
+		y.warm(ctx, o)
 		one := y.closed(ctx, 1, o.Span, o)
 		row(y.name, "one at a time", one)
 		most[y.name+" alone"] = one
@@ -149,6 +150,22 @@
 
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60e6, 3) }
 
+// warm asks for each function on each connection, and again: loads take part of a second.
+func (y way) warm(ctx context.Context, o Options) {
+	for range 2 {
+		var group errgroup.Group
+		for _, c := range y.conns {
+			group.Go(func() error {
+				for f := range o.Functions {
+					c.Call(ctx, y.method, y.params(f))
+				}
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+}
+
 // closed keeps n RPCs at work, each sent once the one before it is answered.
 func (y way) closed(ctx context.Context, n int, span time.Duration, o Options) result {
 	var mu sync.Mutex
@@ -229,8 +246,8 @@
 	for i := range o.Workers {
 		name := fmt.Sprintf("worker-%d", i)
 		docs[name] = fmt.Sprintf(`<worker name="%[2]s" socket="%[1]s/%[2]s.sock" kind="std" cold="no">
-<machine cores="64" keep-alive-ms="600000"/><work method="query" mean-ms="0"/><roster socket="%[1]s/roster.sock"/></worker>`,
-			dir, name)
+<machine cores="64" keep-alive-ms="600000"/><work method="query" mean-ms="%[3]g" spread="0"/><roster socket="%[1]s/roster.sock"/></worker>`,
+			dir, name, float64(o.Work)/float64(time.Millisecond))
 		command[name] = "worker"
 		order = append(order, name)
 	}
@@ -242,9 +259,11 @@
 		cmd := exec.CommandContext(ctx, exe, "--log-level", "error", command[name], file)
 		cmd.Stderr = os.Stderr
 		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		cores := 1 // the others' on this machine
 		if name == "front" {
-			cmd.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(o.Cores))
+			cores = o.Cores
 		}
+		cmd.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(cores))
 		if err := cmd.Start(); err != nil {
 			return err
 		}
