Clients cancel, leave, repeat and flood without harm: call-offs, fair turns, joined repeats

A passenger who walks away left his booking running, and one client with ten thousand RPCs could starve one with a single RPC.

rpc.cancel and a closed connection reach the worker (host.call_off); internal/leave decides whether what was called off may be denied; a result already made is still given. internal/limits bounds RPCs and bytes for connection, peer and front end and gives connections fair turns; internal/repeats joins a tokened repeat to the RPC at work; internal/access lets peers in by their ids. A front end that leaves stops clients' writes before it closes, so that nothing is lost between.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,8 +18,11 @@
 
 	"golang.org/x/sys/unix"
 
+	"mallowlanding/internal/access"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/repeats"
 	"mallowlanding/internal/sock"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
@@ -34,6 +40,7 @@
 	now     sock.Writer
 	dec     jsonrpc.Decoder
 	headers atomic.Bool
+	right   access.Right
 	turns   chan struct{} // room for RPCs that are on their way to the loop
 	batch   *batch        // the one that the reader is in
 
@@ -44,17 +51,35 @@
 	more    *sync.Cond
 
 	// the loop's
+	gate  *limits.Conn
 	open  map[*pending]bool
+	byID  map[string]*pending
 	gone  bool
 	dirty bool // it has answers of this turn
 }
 
-// pending is one RPC of the connection, or one part of a batch: where its answer goes.
+// pending is one RPC of the connection, or one part of a batch: where its answer goes. What follows the batch belongs
+// to the loop's goroutine.
 type pending struct {
 	c     *conn
 	id    jsonrpc.ID // empty: a notification
 	batch *batch
+
+	order  uint64
+	m      int
+	ps     params
+	until  router.Time // its client's time is up
+	ticket *limits.Ticket
+	timer  turn.Timer // while it waits at the gate, or joined another's work
+	work   *work
+}
+
+// work is one RPC at the engine and all who wait for its answer. It is the engine's Client.
+type work struct {
+	s     *Server
 	rpc   *engine.RPC
+	lead  *pending // whose ticket holds the place
+	group *repeats.Group[*pending]
 }
 
 // batch gathers answers until all its parts have theirs.
@@ -65,8 +90,9 @@
 	out  []byte
 }
 
-func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{}}
+func newConn(s *Server, nc net.Conn, peer limits.PeerID, right access.Right) *conn {
+	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{},
+		byID: map[string]*pending{}, gate: s.gate.Open(peer), right: right}
 	c.more = sync.NewCond(&c.mu)
 	return c
 }
@@ -150,10 +176,22 @@
 // leave ends what is open; in a turn.
 func (c *conn) leave() {
 	c.gone = true
+	for _, p := range c.inOrder() {
+		p.forget()
+		if p.work != nil && p.work.leave(p) {
+			p.work.rpc.Left()
+		}
+	}
+}
+
+// inOrder is what is open, in the order in which it came.
+func (c *conn) inOrder() []*pending {
+	all := make([]*pending, 0, len(c.open))
 	for p := range c.open {
-		delete(c.open, p)
-		p.rpc.Left()
+		all = append(all, p)
 	}
+	slices.SortFunc(all, func(a, b *pending) int { return cmp.Compare(a.order, b.order) })
+	return all
 }
 
 func (c *conn) waiting() int {
@@ -335,6 +373,10 @@
 func (c *conn) Asked(id jsonrpc.ID, method string, raw []byte) {
 	p := c.part(id)
 	m, known := c.s.methods[method]
+	if method == "rpc.cancel" {
+		c.askedToCancel(p, raw)
+		return
+	}
 	if !known {
 		p.fail(jsonrpc.MethodNotFound, fmt.Sprintf("no method %.80q", method))
 		return
@@ -347,11 +389,16 @@
 		p.fail(jsonrpc.InvalidParams, err.Error())
 		return
 	}
+	if err := c.right.May(method, ps.customer); err != nil {
+		p.fail(NotAllowed, err.Error())
+		return
+	}
 	came := time.Now()
 	c.turns <- struct{}{}
 	if !c.s.loop.Post(func() {
 		<-c.turns
-		c.take(p, m, ps, came)
+		p.m, p.ps = m, ps
+		c.take(p, came)
 	}) {
 		<-c.turns
 		p.fail(Denied, "denied: the front end has stopped")
@@ -418,59 +465,208 @@
 	return nil
 }
 
-// take hands the RPC to the engine; in a turn.
-func (c *conn) take(p *pending, m int, ps params, came time.Time) {
-	method := &c.s.o.Methods[m]
+// askedToCancel takes rpc.cancel: its answer tells whether an RPC of that id was open on this connection.
+func (c *conn) askedToCancel(p *pending, raw []byte) {
+	id := bytes.Clone(jsonrpc.Member(raw, "id"))
+	if id == nil || len(id) > 0 && (id[0] == '{' || id[0] == '[' || id[0] == 't' || id[0] == 'f') {
+		p.fail(jsonrpc.InvalidParams, `params: "id" must be the id of an RPC: a string, a number or null`)
+		return
+	}
+	c.s.loop.Post(func() {
+		open := c.byID[string(id)]
+		p.answer(true, func(out []byte, own jsonrpc.ID) []byte {
+			return jsonrpc.AppendResult(out, own, strconv.AppendBool(nil, open != nil))
+		})
+		if open != nil {
+			open.cancel()
+		}
+	})
+}
+
+// take brings the RPC to the gate; in a turn.
+func (c *conn) take(p *pending, came time.Time) {
+	s := c.s
+	method := &s.o.Methods[p.m]
 	if c.gone {
 		return
 	}
-	if c.s.stopping {
+	if s.stopping {
 		p.deny("denied: this front end is leaving", 0)
 		return
 	}
-	if len(c.open) >= c.s.o.Limits.Open {
-		p.deny(fmt.Sprintf("denied: %d RPCs are open on this connection", len(c.open)), 0)
+	if len(p.id) > 0 && c.byID[string(p.id)] != nil {
+		p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
+			return jsonrpc.AppendError(out, id, jsonrpc.InvalidRequest, "an RPC of this id is open on this connection", nil)
+		})
 		return
 	}
-	if other, meets := c.s.engine.Meets(ps.function); meets {
-		p.fail(jsonrpc.InvalidParams,
-			fmt.Sprintf("params: function %.80q has the id of function %.80q: rename one of them", ps.function, other))
+	left := method.Deadline
+	if p.ps.time >= 0 {
+		left = min(left, router.Time(math.Min(p.ps.time*10, math.MaxInt32)))
+	}
+	p.until = s.now + left - turn.Span(time.Since(came)) // less what passed on the way here
+	t, refused, displaced := c.gate.Arrive(s.now, p.ps.function, int64(len(p.ps.payload)), method.Gain, p)
+	if refused != nil {
+		p.deny(refused.Reason, refused.ComeBack)
 		return
 	}
-	left := method.Deadline
-	if ps.time >= 0 {
-		left = min(left, router.Time(math.Min(ps.time*10, math.MaxInt32)))
+	if displaced != nil {
+		d := displaced.Body.(*pending)
+		d.forget()
+		d.deny("denied: an RPC of more gain took its place", s.gate.ComeBack())
 	}
-	left -= turn.Span(time.Since(came)) // what passed on the way here
+	s.order++
+	p.ticket, p.order = t, s.order
+	s.timers.Set(&p.timer, p.until-s.o.Margin, func(router.Time) { p.expire() }) // its time is up at the gate
 	c.open[p] = true
-	var client engine.Client = p
-	if c.s.o.Wrap != nil {
-		client = c.s.o.Wrap(p)
+	if len(p.id) > 0 {
+		c.byID[string(p.id)] = p
 	}
-	rpc := c.s.engine.Take(router.MethodID(m), method, router.CustomerID(c.s.customers[ps.customer]), ps.function,
-		c.s.o.Function(m, ps.function), ps.token, left, ps.repeat, ps.payload, client)
-	p.rpc = rpc
 }
 
-// OK implements engine.Client.
-func (p *pending) OK(result []byte) {
+// start hands the RPC to the engine, or has it join one at work; in a turn, once it has passed the gate.
+func (p *pending) start() {
+	s := p.c.s
+	s.timers.Stop(&p.timer)
+	method := &s.o.Methods[p.m]
+	w := &work{s: s, lead: p}
+	if method.Effect == router.Tokened {
+		key := repeats.Key{Method: method.Name, Customer: p.ps.customer, Token: p.ps.token}
+		group, decision := s.repeats.Come(key, p.ps.function, p.ps.payload, p)
+		switch decision {
+		case repeats.Differs:
+			p.forget()
+			p.failNow(jsonrpc.InvalidParams, "params: an RPC of this token is open that asks for something else")
+			return
+		case repeats.Joined:
+			p.work = s.works[group]
+			p.ticket.Held(false)
+			s.timers.Set(&p.timer, p.until-s.o.Margin, func(router.Time) { p.expire() })
+			return
+		}
+		w.group = group
+		s.works[group] = w
+	}
+	if other, meets := s.engine.Meets(p.ps.function); meets {
+		p.forget()
+		w.end()
+		p.failNow(jsonrpc.InvalidParams, fmt.Sprintf(
+			"params: function %.80q has the id of function %.80q: rename one of them", p.ps.function, other))
+		return
+	}
+	var client engine.Client = w
+	if s.o.Wrap != nil {
+		client = s.o.Wrap(w)
+	}
+	p.work = w
+	rpc := s.engine.Take(router.MethodID(p.m), method, router.CustomerID(s.customers[p.ps.customer]), p.ps.function,
+		s.o.Function(p.m, p.ps.function), p.ps.token, p.until-s.now, p.ps.repeat, p.ps.payload, client)
+	w.rpc = rpc
+}
+
+// cancel: the client wants no result any more, but its one answer.
+func (p *pending) cancel() {
+	switch {
+	case p.work == nil: // it waited at the gate, and never ran
+		p.forget()
+		p.deny("denied: cancelled", 0)
+	case p.work.leave(p):
+		p.work.group, p.work.lead = nil, p // the answer is this one's
+		p.work.rpc.Cancel()
+	default: // others wait for the same work: it goes on
+		p.part()
+	}
+}
+
+// expire: its time is up at the gate, or while another's work that it joined goes on.
+func (p *pending) expire() {
+	switch {
+	case p.work == nil:
+		p.forget()
+		p.deny("denied", p.c.s.gate.ComeBack())
+	case p.work.leave(p):
+		p.part()
+		p.work.rpc.Left()
+	default:
+		p.part()
+	}
+}
+
+// part answers a client that stops waiting for work that may have run, or may run yet.
+func (p *pending) part() {
+	p.forget()
+	if p.work.rpc.MayDeny() {
+		p.deny("denied", 0)
+		return
+	}
+	p.abort("it waited for an RPC of the same token")
+}
+
+// leave takes p out of who waits; it tells whether nobody does any more.
+func (w *work) leave(p *pending) (last bool) {
+	if w.group == nil {
+		return true
+	}
+	if last = w.group.Leave(p); last {
+		delete(w.s.works, w.group)
+	}
+	return last
+}
+
+// forget takes the RPC out of what is open.
+func (p *pending) forget() {
 	delete(p.c.open, p)
-	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
+	if p.c.byID[string(p.id)] == p {
+		delete(p.c.byID, string(p.id))
+	}
+	p.c.s.timers.Stop(&p.timer)
+	p.ticket.Done(p.c.s.now)
+}
+
+// end returns who waits for the work, and forgets its group.
+func (w *work) end() []*pending {
+	if w.group == nil {
+		if w.lead.c.open[w.lead] {
+			return []*pending{w.lead}
+		}
+		return nil
+	}
+	delete(w.s.works, w.group)
+	return w.group.Answer()
+}
+
+// OK implements engine.Client.
+func (w *work) OK(result []byte) {
+	for _, p := range w.end() {
+		p.forget()
+		p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
+	}
 }
 
 // Denied implements engine.Client.
-func (p *pending) Denied(comeBack router.Time) {
-	delete(p.c.open, p)
-	p.deny("denied", comeBack)
+func (w *work) Denied(comeBack router.Time) {
+	for _, p := range w.end() {
+		p.forget()
+		p.deny("denied", comeBack)
+	}
 }
 
+// Aborted implements engine.Client.
+func (w *work) Aborted(cause string) {
+	for _, p := range w.end() {
+		p.forget()
+		p.abort(cause)
+	}
+}
+
+// Moved implements engine.Client.
+func (w *work) Moved(held bool) { w.lead.ticket.Held(held) }
+
 func (p *pending) deny(message string, comeBack router.Time) {
 	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return appendDenied(out, id, message, comeBack) })
 }
 
-// Aborted implements engine.Client.
-func (p *pending) Aborted(cause string) {
-	delete(p.c.open, p)
+func (p *pending) abort(cause string) {
 	p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
 		var data []byte
 		if cause != "" {
@@ -479,3 +675,8 @@
 		return jsonrpc.AppendError(out, id, Aborted, "aborted", data)
 	})
 }
+
+// failNow is fail in a turn.
+func (p *pending) failNow(code int, message string) {
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendError(out, id, code, message, nil) })
+}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -10,27 +10,34 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
+	"mallowlanding/internal/access"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/repeats"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
 
 // Error codes of our own, in the range that JSON-RPC leaves to servers.
 const (
-	Denied  = -32001 // a retry is harmless; data.come_back_ms advises when
-	Aborted = -32002 // it may have run
+	Denied     = -32001 // a retry is harmless; data.come_back_ms advises when
+	Aborted    = -32002 // it may have run
+	NotAllowed = -32003 // the peer may not ask for this
 )
 
 // Limits bound what clients may ask of one front end.
 type Limits struct {
-	Connections  int           // connections at once
-	Open         int           // RPCs open on one connection
+	Connections  int // connections at once
+	Open         int // RPCs open on one connection
+	Gate         limits.Settings
 	ValueBytes   int           // bytes of one JSON value
 	AnswerBytes  int           // bytes of answers that wait for a slow reader before no more is read from it
 	WriteTimeOut time.Duration // a reader that takes nothing for so long is cut off
@@ -43,10 +50,12 @@
 	Customers []string // none: RPCs name no customer
 	Function  func(method int, name string) engine.Function
 	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
+	Margin    router.Time                       // kept of each RPC's time for the answer's way to the client
+	Allow     access.List                       // none: every peer that can open the socket
 	Log       zerolog.Logger
 }
 
-// Server takes connections. The last two fields belong to the loop's goroutine.
+// Server takes connections. Fields from now on belong to the loop's goroutine.
 type Server struct {
 	o         Options
 	loop      *turn.Loop
@@ -56,6 +65,12 @@
 	mu        sync.Mutex
 	conns     map[*conn]bool
 
+	now      router.Time
+	timers   turn.Timers
+	gate     *limits.Gate
+	repeats  *repeats.Open[*pending]
+	works    map[*repeats.Group[*pending]]*work
+	order    uint64
 	stopping bool
 	dirty    []*conn // with answers of this turn
 }
@@ -63,7 +78,8 @@
 // New makes a server for an engine that loop drives.
 func New(loop *turn.Loop, e *engine.Engine, o Options) *Server {
 	s := &Server{o: o, loop: loop, engine: e, methods: map[string]int{}, customers: map[string]int{},
-		conns: map[*conn]bool{}}
+		conns: map[*conn]bool{}, gate: limits.New(o.Limits.Gate), repeats: repeats.New[*pending](),
+		works: map[*repeats.Group[*pending]]*work{}}
 	for i, m := range o.Methods {
 		s.methods[m.Name] = i
 	}
@@ -125,7 +141,17 @@
 			}
 			break
 		}
-		c := newConn(s, nc)
+		uid, gid, err := peerOf(nc)
+		var right access.Right
+		if err == nil {
+			right, err = s.o.Allow.Admit(uid, gid)
+		}
+		if err != nil {
+			s.o.Log.Warn().Err(err).Msg("a connection is turned away")
+			turnAway(nc, NotAllowed, err.Error())
+			continue
+		}
+		c := newConn(s, nc, limits.PeerID(uid), right)
 		s.mu.Lock()
 		full := len(s.conns) >= s.o.Limits.Connections
 		if !full {
@@ -134,10 +160,7 @@
 		s.mu.Unlock()
 		if full {
 			s.o.Log.Warn().Int("connections", s.o.Limits.Connections).Msg("a connection is turned away")
-			text := fmt.Sprintf("denied: %d connections are open, no more are taken", s.o.Limits.Connections)
-			_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
-			_, _ = nc.Write(append(jsonrpc.AppendError(nil, jsonrpc.Null, Denied, text, nil), '\n'))
-			nc.Close()
+			turnAway(nc, Denied, fmt.Sprintf("denied: %d connections are open, no more are taken", s.o.Limits.Connections))
 			continue
 		}
 		all.Go(func() error { c.serve(ctx); return nil })
@@ -154,9 +177,67 @@
 	return errors.As(err, &op) && op.Temporary()
 }
 
+// turnAway tells a client why its connection is not taken, and closes it.
+func turnAway(nc net.Conn, code int, why string) {
+	_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = nc.Write(append(jsonrpc.AppendError(nil, jsonrpc.Null, code, why, nil), '\n'))
+	nc.Close()
+}
+
+// peerOf reads the ids of the process at the other end, as they were when it connected.
+func peerOf(nc net.Conn) (uid, gid int64, err error) {
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, 0, err
+	}
+	var cred *unix.Ucred
+	var credErr error
+	if err := raw.Control(func(fd uintptr) {
+		cred, credErr = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+	}); err != nil {
+		return 0, 0, err
+	}
+	if credErr != nil {
+		return 0, 0, credErr
+	}
+	return int64(cred.Uid), int64(cred.Gid), nil
+}
+
 // Drain has RPCs that come from now on denied; it may be called in a turn alone.
 func (s *Server) Drain() { s.stopping = true }
 
+// CloseReads has clients' further writes fail: what they sent before is still read, and nothing is lost between a
+// write that went well and this front end. Connections end once all on them is answered.
+func (s *Server) CloseReads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.nc.(*net.UnixConn).CloseRead()
+	}
+}
+
+// Begin tells the time of a turn.
+func (s *Server) Begin(now router.Time) { s.now = now }
+
+// Pump hands to the engine what may pass the gate; it may be called in a turn alone, after its events.
+func (s *Server) Pump() {
+	s.timers.Fire(s.now)
+	for t := s.gate.Next(); t != nil; t = s.gate.Next() {
+		t.Body.(*pending).start()
+	}
+}
+
+// Due tells when the server wants a turn though nothing comes.
+func (s *Server) Due() (router.Time, bool) {
+	if s.gate.Ready() {
+		return s.now, true
+	}
+	return s.timers.Due()
+}
+
+// Open is the number of RPCs at the gate, which the engine has not taken yet.
+func (s *Server) Open() int { return s.gate.Waiting() }
+
 // Flush sends the turn's answers; it may be called in a turn alone, at its end.
 func (s *Server) Flush() {
 	for i, c := range s.dirty {
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -13,6 +13,7 @@
 func (idle) OK([]byte)          {}
 func (idle) Denied(router.Time) {}
 func (idle) Aborted(string)     {}
+func (idle) Moved(bool)         {}
 
 // prompt answers each call-out in the turn after.
 type prompt struct {
@@ -21,6 +22,7 @@
 }
 
 func (l *prompt) Send(id CallOutID, _ *RPC, _ router.Time) { l.sent = append(l.sent, id) }
+func (l *prompt) Unhold(OrderID)                           {}
 func (l *prompt) CallOff(CallOutID)                        {}
 func (l *prompt) Hold(OrderID, string, Function, int)      {}
 func (l *prompt) Check(CheckID)                            {}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,16 +11,19 @@
 
 	"mallowlanding/internal/core"
 	"mallowlanding/internal/ident"
+	"mallowlanding/internal/leave"
 	"mallowlanding/internal/terms"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
 
-// Client is where an RPC's final answer goes; exactly one of its methods is called, once, unless the client left.
+// Client is where an RPC's final answer goes: exactly one of OK, Denied and Aborted is called, once, unless the client
+// left.
 type Client interface {
 	OK(result []byte)
 	Denied(comeBack router.Time) // 0: no advice when to come back
 	Aborted(cause string)
+	Moved(held bool) // the RPC went out to a worker, or is held by the module again
 }
 
 // Link is the way to one worker. Its methods don't wait; what comes of them is told to the engine in a later turn.
@@ -28,6 +31,7 @@
 type Link interface {
 	Send(id CallOutID, rpc *RPC, left router.Time) // left: how long the RPC's client still waits
 	CallOff(id CallOutID)
+	Unhold(id OrderID) // nobody wants the load any more
 	Hold(id OrderID, function string, fn Function, copies int)
 	Check(id CheckID)
 }
@@ -43,6 +47,8 @@
 type Method struct {
 	Name     string
 	Effect   string
+	Group    string  // of a tokened one: the workers that drop its repeats
+	Gain     float64 // what an answer in time is worth
 	Deadline router.Time
 }
 
@@ -64,6 +70,8 @@
 	out      int
 	closed   bool   // answered, or its client left
 	cause    string // what the last failed call-out told
+	leave    leave.RPC
+	callOff  turn.Timer
 
 	Method   *Method
 	Function string
@@ -129,6 +137,8 @@
 	later   []func()
 	counts  Counts
 	listen  func()
+	wanted  *leave.Wanted[OrderID]
+	within  router.Time // workers have so long to tell what came of a call-off
 }
 
 // Options are what an engine is told besides the module's settings.
@@ -138,6 +148,7 @@
 	Now      router.Time
 	Margin   router.Time       // kept of each RPC's time for the answer's way to the client
 	Log      func(text string) // the module's lines for those on call
+	CallOff  router.Time       // how long workers have to tell what came of a call-off
 	Listen   func()            // the module asks for changes of the list; nil: they come by themselves
 }
 
@@ -145,7 +156,8 @@
 func New(o Options) *Engine {
 	e := &Engine{log: o.Log, now: o.Now, margin: o.Margin, rpcs: map[router.RPCID]*RPC{},
 		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]named{},
-		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen}
+		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen,
+		wanted: leave.NewWanted[OrderID](), within: o.CallOff}
 	number := func(name string) float64 { v, _ := o.Settings[name].(float64); return v }
 	e.most = int(number(terms.Path(terms.May, terms.CallOuts)))
 	e.overlap, _ = o.Settings[terms.Path(terms.May, terms.Overlap)].(bool)
@@ -205,8 +217,9 @@
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
 	e.names[fid] = named{function, fn}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
-		Fn: fn, Token: token, Payload: payload}
+		Fn: fn, Token: token, Payload: payload, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
 	e.rpcs[id] = p
+	e.wanted.Take(fid)
 	e.counts.Taken++
 	e.timers.Set(&p.deadline, p.end, p.timeUp)
 	e.core.Take(e.now, id, m, customer, fid, p.end-e.now, 0, fn.Memory, fn.Lanes, fn.Load, repeat)
@@ -220,14 +233,67 @@
 	return known.name, is && known.name != function
 }
 
-// Left tells that the client is gone: nothing is owed any more. What is out goes on.
+// Left tells that the client is gone: nothing is owed any more. What is out is called off, and what it alone wanted.
 func (p *RPC) Left() {
 	if p.closed {
 		return
 	}
-	p.closed = true
 	p.e.counts.Left++
-	p.e.core.Left(p.e.now, p.id)
+	p.withdraw()
+	p.close()
+	p.e.release(p)
+}
+
+// Cancel tells that the client wants no result any more, but its one answer: the result, if there is one by now;
+// denied, if a retry is harmless; else aborted. Workers have a while to tell what came of what was out there.
+func (p *RPC) Cancel() {
+	if p.closed || p.leave.Cancelled() {
+		return
+	}
+	e := p.e
+	p.withdraw()
+	p.settle(p.leave.Verdict())
+	if !p.closed {
+		e.timers.Set(&p.callOff, min(e.now+e.within, p.end), func(router.Time) { p.settle(p.leave.Overdue()) })
+	}
+}
+
+// MayDeny tells whether a client that stops waiting while the RPC goes on may be told that a retry is harmless.
+func (p *RPC) MayDeny() bool { return p.leave.Overdue() == leave.Deny }
+
+// withdraw takes the client's wish back: the module makes no further call-out, workers hear that nobody waits.
+func (p *RPC) withdraw() {
+	e := p.e
+	if p.leave.Cancelled() {
+		return
+	}
+	p.leave.Cancel()
+	e.core.Left(e.now, p.id)
+	for n := range p.calls {
+		if c := &p.calls[n]; !c.done && c.worker.link != nil {
+			c.worker.link.CallOff(CallOutID(uint64(p.id)<<8 | uint64(n)))
+		}
+	}
+	for _, id := range e.wanted.Close(ident.Function(p.Function), true) {
+		if o := e.orders[id]; o != nil && o.worker.link != nil {
+			o.worker.link.Unhold(id)
+		}
+	}
+}
+
+// settle gives a cancelled RPC its answer.
+func (p *RPC) settle(v leave.Verdict) {
+	if p.closed || v == leave.Wait {
+		return
+	}
+	p.close()
+	if v == leave.Deny {
+		p.e.counts.Denied++
+		p.client.Denied(0)
+	} else {
+		p.e.counts.Aborted++
+		p.client.Aborted("cancelled by its client")
+	}
 	p.e.release(p)
 }
 
@@ -256,6 +322,7 @@
 	e, c := p.e, &p.calls[n]
 	c.done = true
 	p.out--
+	p.leave.Ended(o)
 	if o == router.OK && !p.closed {
 		p.close()
 		e.counts.OK++
@@ -263,17 +330,27 @@
 	} else if o != router.OK && len(result) > 0 {
 		p.cause = string(result)
 	}
+	if p.leave.Cancelled() {
+		p.settle(p.leave.Verdict())
+	} else if !p.closed && p.out == 0 {
+		p.client.Moved(true)
+	}
 	e.core.Ended(e.now, p.id, n, c.worker.id, o, p.closed, warmth, crowd, e.now-c.at, report)
 	e.release(p)
 }
 
 // close marks that nothing is owed any more.
-func (p *RPC) close() { p.closed = true }
+func (p *RPC) close() {
+	if p.closed = true; !p.leave.Cancelled() {
+		p.e.wanted.Close(ident.Function(p.Function), false)
+	}
+}
 
 // release lets go of an RPC that nothing more can happen to.
 func (e *Engine) release(p *RPC) {
 	if p.closed && p.out == 0 {
 		e.timers.Stop(&p.deadline)
+		e.timers.Stop(&p.callOff)
 		delete(e.rpcs, p.id)
 		p.Payload = nil
 	}
@@ -316,6 +393,7 @@
 func (e *Engine) Held(id OrderID, o router.Outcome, copies int) {
 	if or := e.orders[id]; or != nil {
 		delete(e.orders, id)
+		e.wanted.Ended(or.fn, id)
 		e.timers.Stop(&or.timeOut)
 		e.core.Held(e.now, or.worker.id, or.fn, o, copies, e.now-or.at)
 	}
@@ -341,7 +419,10 @@
 	}
 	n, wk := len(p.calls), e.workers[w]
 	p.calls = append(p.calls, callOut{worker: wk, at: e.now})
-	p.out++
+	p.leave.Sent()
+	if p.out++; p.out == 1 && !p.closed {
+		p.client.Moved(false)
+	}
 	moot := p.closed || e.now >= p.end || n >= e.most || p.out > 1 && !e.overlap
 	id := CallOutID(uint64(rpc)<<8 | uint64(n))
 	switch {
@@ -430,6 +511,7 @@
 	e.orders[id] = o
 	if n > 0 {
 		e.counts.Orders++
+		e.wanted.Ordered(fn, id)
 	}
 	if wk.link == nil {
 		e.later = append(e.later, func() { e.Held(id, router.ConnectFailed, 0) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,17 +6,21 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mallowlanding/internal/access"
 	"mallowlanding/internal/clients"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/follow"
+	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/turn"
+	"mallowlanding/router"
 )
 
 // look is how often a leaving front end looks whether all is answered.
@@ -29,8 +33,25 @@
 	clients *clients.Server
 }
 
+// Begin begins a turn.
+func (m *machine) Begin(now router.Time) {
+	m.clients.Begin(now)
+	m.Engine.Begin(now)
+}
+
+// Due tells when a turn is wanted though nothing comes.
+func (m *machine) Due() (router.Time, bool) {
+	a, anyA := m.Engine.Due()
+	b, anyB := m.clients.Due()
+	if anyA && (!anyB || a < b) {
+		return a, true
+	}
+	return b, anyB
+}
+
 // End ends a turn.
 func (m *machine) End() {
+	m.clients.Pump()
 	m.Engine.End()
 	m.links.Flush()
 	m.clients.Flush()
@@ -67,7 +88,8 @@
 	o Outgoing) error {
 	loop := turn.NewLoop()
 	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
-		Log: func(text string) { log.Info().Str("from", "module").Msg(text) }})
+		CallOff: f.Clients.CallOff,
+		Log:     func(text string) { log.Info().Str("from", "module").Msg(text) }})
 
 	// parts end in turn: first the clients' side, once all is answered, then the rest, last the loop
 	rest, endRest := context.WithCancel(context.Background())
@@ -90,7 +112,8 @@
 	srv := clients.New(loop, e, clients.Options{
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
-			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
+			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut), Gate: gate(f)},
+		Margin: f.Clients.Margin, Allow: allow(f),
 		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(),
 		Wrap: o.Client, Log: log})
 
@@ -126,7 +149,7 @@
 	for {
 		loop.Post(func() {
 			srv.Drain()
-			open <- e.Counts().Open
+			open <- e.Counts().Open + srv.Open()
 		})
 		if left = <-open; left == 0 && srv.Flushed() {
 			break
@@ -140,8 +163,16 @@
 	counts := make(chan engine.Counts, 1)
 	loop.Post(func() { counts <- e.Counts() })
 	c := <-counts
+	// what was sent by now is read, and denied; what comes later can't be sent
+	srv.CloseReads()
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = frontGroup.Wait() }()
+	select {
+	case <-ended:
+	case <-time.After(within):
+	}
 	endFront()
-	_ = frontGroup.Wait()
+	<-ended
 	endRest()
 	_ = restGroup.Wait()
 	endLoop()
@@ -151,3 +182,18 @@
 		Uint64("denied", c.Denied).Uint64("aborted", c.Aborted).Uint64("left", c.Left).Msg("front end has left")
 	return err
 }
+
+func gate(f *settings.FrontEnd) limits.Settings {
+	c := &f.Clients
+	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes},
+		Peer: limits.Bound{RPCs: c.Peer, Bytes: c.PeerBytes}, Conn: limits.Bound{RPCs: c.Open, Bytes: c.OpenBytes},
+		Held: c.Held, ComeBack: f.Service.CallOuts.ComeBack}
+}
+
+func allow(f *settings.FrontEnd) (list access.List) {
+	for _, a := range f.Clients.Allow {
+		list = append(list, access.Rule{UID: a.UID, GID: a.GID, Methods: strings.Fields(a.Methods),
+			Customers: strings.Fields(a.Customers)})
+	}
+	return list
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -26,7 +26,7 @@
 // A file has conversations, each under a line of '== NAME', one step a line; '#' begins a comment. They are held
 // over real sockets between the front end under test and scripted clients, workers and a roster.
 //
-//	set ATTRIBUTE=VALUE ...   of the element clients; functions.ATTRIBUTE and methods.ATTRIBUTE of those
+//	set ATTRIBUTE=VALUE ...   of the element clients; functions.ATTRIBUTE, allow.ATTRIBUTE of those ($UID: one's own)
 //	roster up|down            it serves, or is away
 //	worker W [mute|deaf]      it serves; mute: it accepts and says nothing; deaf: it is ready and reads nothing
 //	list W=STATE ...          the roster tells the whole list, and has it acknowledged; list-again: the same list twice
@@ -242,13 +242,24 @@
 	return out
 }
 
+// allow is the list of peers, where the conversation sets one.
+func (k *talk) allow() string {
+	if a := k.attributes("allow"); a != "" {
+		return "<allow" + strings.ReplaceAll(a, "$UID", strconv.Itoa(os.Getuid())) + "/>"
+	}
+	return ""
+}
+
 func (k *talk) start() error {
-	text := fmt.Sprintf(`<front-end name="front"><clients socket=%q%s/><workers redial-max-ms="100"/>
+	if k.set["functions.orders"] == "" {
+		k.set["functions.orders"] = "no"
+	}
+	text := fmt.Sprintf(`<front-end name="front"><clients socket=%q%s>%s</clients><workers redial-max-ms="100"/>
 <roster socket=%q cache=%q/><service>
 <method name="query" effect="idempotent" deadline-ms="2000"%s/>
 <method name="book" effect="tokened" group="all" window-ms="2000" deadline-ms="1000"/>
 <method name="hold" effect="side-effecting" deadline-ms="1000"/>
-<functions orders="no"%s/></service></front-end>`, k.path("front"), k.attributes(""), k.path("roster"),
+<functions%s/></service></front-end>`, k.path("front"), k.attributes(""), k.allow(), k.path("roster"),
 		filepath.Join(k.dir, "list"), k.attributes("methods"), k.attributes("functions"))
 	file := filepath.Join(k.dir, "front.xml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -192,6 +192,13 @@
 	}
 }
 
+// Unhold implements engine.Link.
+func (l *Link) Unhold(id engine.OrderID) {
+	if l.up != nil {
+		l.tell("host.call_off", append(strconv.AppendUint([]byte(`{"id":"o`), uint64(id), 10), `"}`...))
+	}
+}
+
 // Hold implements engine.Link.
 func (l *Link) Hold(id engine.OrderID, function string, fn engine.Function, copies int) {
 	b := appendFunction(jsonrpc.AppendText([]byte(`{"function":`), function), fn)
--- /dev/null
+++ b/internal/repeats/repeats.go
@@ -0,0 +1,95 @@
+// Package repeats decides what a tokened RPC does that comes while one of the same token is still at work here: it
+// joins it, and both get its answer, or it runs beside it, or it is refused. No I/O, no clock.
+//
+// Within one front end a repeat joins: a second call-out would ask the workers' memory of tokens for what is known
+// here. Across front ends that memory decides, within its group and window.
+package repeats
+
+import "hash/maphash"
+
+// Key is what must be alike for two RPCs to be the same one.
+type Key struct {
+	Method   string
+	Customer string
+	Token    string
+}
+
+// Decision is what becomes of an RPC that comes.
+type Decision uint8
+
+// Decisions.
+const (
+	First   Decision = iota // none of that token is open: it goes its way
+	Joined                  // it waits for the open one's answer
+	Differs                 // one of that token is open, but asks for something else: refused
+)
+
+// Open are a front end's tokened RPCs at work, each with those that joined it.
+type Open[Waiter comparable] struct {
+	seed maphash.Seed
+	rpcs map[Key]*Group[Waiter]
+}
+
+// Group is one RPC at work and all who wait for it.
+type Group[Waiter comparable] struct {
+	o       *Open[Waiter]
+	key     Key
+	what    uint64
+	waiters []Waiter
+	over    bool
+}
+
+// New starts with none open.
+func New[Waiter comparable]() *Open[Waiter] {
+	return &Open[Waiter]{seed: maphash.MakeSeed(), rpcs: map[Key]*Group[Waiter]{}}
+}
+
+// Come takes an RPC: its function and payload say what it asks for.
+func (o *Open[Waiter]) Come(key Key, function string, payload []byte, w Waiter) (*Group[Waiter], Decision) {
+	var h maphash.Hash
+	h.SetSeed(o.seed)
+	_, _ = h.WriteString(function)
+	_ = h.WriteByte(0)
+	_, _ = h.Write(payload)
+	what := h.Sum64()
+	if g := o.rpcs[key]; g != nil {
+		if g.what != what {
+			return nil, Differs
+		}
+		g.waiters = append(g.waiters, w)
+		return g, Joined
+	}
+	g := &Group[Waiter]{o: o, key: key, what: what, waiters: []Waiter{w}}
+	o.rpcs[key] = g
+	return g, First
+}
+
+// Leave takes a waiter out. It tells whether nobody waits any more: the RPC itself is then left.
+func (g *Group[Waiter]) Leave(w Waiter) (last bool) {
+	for i := range g.waiters {
+		if g.waiters[i] == w {
+			g.waiters = append(g.waiters[:i:i], g.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(g.waiters) > 0 || g.over {
+		return false
+	}
+	g.end()
+	return true
+}
+
+// Answer ends the RPC and returns who waits, in the order in which they came.
+func (g *Group[Waiter]) Answer() []Waiter {
+	w := g.waiters
+	g.waiters = nil
+	g.end()
+	return w
+}
+
+func (g *Group[Waiter]) end() {
+	if !g.over {
+		g.over = true
+		delete(g.o.rpcs, g.key)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,8 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
+	"strings"
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/ident"
@@ -144,6 +146,24 @@
 	AnswerBytes  int         `a:"answer-bytes" def:"1048576" min:"1024" max:"1073741824"`
 	WriteTimeOut router.Time `a:"write-time-out-ms" def:"30000" min:"10" max:"3600000"`
 	Margin       router.Time `a:"margin-ms" def:"10" min:"0" max:"10000"`
+	CallOff      router.Time `a:"call-off-ms" def:"200" min:"1" max:"60000"`
+	HandOver     string      `a:"hand-over"`
+	Whole        int         `a:"whole-open" def:"20000" min:"1" max:"10000000"`
+	WholeBytes   int64       `a:"whole-bytes" def:"268435456" min:"1024" max:"1099511627776"`
+	Peer         int         `a:"peer-open" def:"0" min:"0" max:"10000000"`
+	PeerBytes    int64       `a:"peer-bytes" def:"0" min:"0" max:"1099511627776"`
+	OpenBytes    int64       `a:"open-bytes" def:"67108864" min:"0" max:"1099511627776"`
+	Held         int         `a:"held" def:"64" min:"0" max:"1000000"`
+	Allow        []Allow     `e:"allow"`
+}
+
+// Allow lets peers in, by the ids of their processes' user and group; without any, all who can open the socket are.
+type Allow struct {
+	Pos
+	UID       int64  `a:"uid" def:"-1" min:"-1" max:"4294967295"`
+	GID       int64  `a:"gid" def:"-1" min:"-1" max:"4294967295"`
+	Methods   string `a:"methods"`   // by blanks; left out: all
+	Customers string `a:"customers"` // likewise
 }
 
 // Workers is the front end's side towards workers.
@@ -193,6 +213,7 @@
 	LoadFails   float64     `a:"load-fails" def:"0" min:"0" max:"1"`
 	ReportEvery router.Time `a:"report-every-ms" def:"200" min:"1" max:"60000"`
 	StartShare  float64     `a:"start-share" def:"0.5" min:"0" max:"1"`
+	Stops       string      `a:"stops" def:"running" words:"nothing waiting running"`
 }
 
 // WorkMethod is what an RPC of a method costs a stand-in worker, and what it remembers.
@@ -310,6 +331,21 @@
 	if f.Zone != "" && place(f.Service.Zones, f.Zone) < 0 {
 		return f.Errorf("zone %q is none of the service's", f.Zone)
 	}
+	for _, a := range f.Clients.Allow {
+		if a.UID < 0 && a.GID < 0 {
+			return a.Errorf("an allow without uid and gid lets nobody in: name one")
+		}
+		for name := range strings.FieldsSeq(a.Methods) {
+			if !slices.ContainsFunc(f.Service.Methods, func(m Method) bool { return m.Name == name }) {
+				return a.Errorf("method %q is none of the service's", name)
+			}
+		}
+		for name := range strings.FieldsSeq(a.Customers) {
+			if !slices.ContainsFunc(f.Service.Customers, func(c Customer) bool { return c.Name == name }) {
+				return a.Errorf("customer %q is none of the service's", name)
+			}
+		}
+	}
 	longest := router.Time(0)
 	for _, m := range f.Service.Methods {
 		longest = max(longest, m.Deadline)
@@ -396,7 +432,8 @@
 func (s *Service) EngineMethods() []engine.Method {
 	var out []engine.Method
 	for _, m := range s.Methods {
-		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Deadline: m.Deadline})
+		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Group: m.Group, Gain: m.Gain,
+			Deadline: m.Deadline})
 	}
 	return out
 }
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -37,6 +37,7 @@
 	work    *settings.WorkMethod
 	answer  Answer
 	begun   bool
+	ran     bool // its effect has happened, or is about to
 	over    bool
 	timer   turn.Timer
 	coreFor router.Time
@@ -66,6 +67,7 @@
 }
 
 type hold struct {
+	id   any
 	n    int
 	done func(code, stand int)
 }
@@ -240,11 +242,42 @@
 	return true
 }
 
-// CallOff drops an RPC that has not begun; what runs goes on.
+// CallOff drops an RPC that has not begun, and stops one that runs, as far as the machine does that. A load that
+// nobody waits for any more is given up: see nextLoads and runLoad.
 func (m *Model) CallOff(j *Job) {
-	if !j.over {
-		m.drop(j, "called off before it began")
+	if j.over || m.set.Machine.Stops == "nothing" || m.now < m.hungUntil {
+		return
+	}
+	if m.drop(j, "called off before it began") || m.set.Machine.Stops == "waiting" || !j.begun || j.ran {
+		return
+	}
+	if at := slices.Index(m.line, j); at >= 0 { // it had a lane and waited for a core
+		m.line = slices.Delete(m.line, at, at+1)
+		m.leaveLane(j, Answer{Code: full, Message: "called off before it began"})
+		return
 	}
+	m.timers.Stop(&j.timer)
+	m.free++
+	m.leaveLane(j, Answer{Code: calledOff, Message: "called off while it ran"})
+}
+
+// Unhold gives up a load order.
+func (m *Model) Unhold(id any) {
+	for _, name := range m.order {
+		fn := m.fns[name]
+		for i, h := range fn.holds {
+			if h.id == id {
+				fn.holds = slices.Delete(fn.holds, i, i+1)
+				h.done(full, fn.stand-fn.stale)
+				return
+			}
+		}
+	}
+}
+
+// unwanted: nobody waits for the load any more.
+func (m *Model) unwanted(fn *copies) bool {
+	return m.set.Machine.Stops != "nothing" && len(fn.waiting) == 0 && len(fn.holds) == 0
 }
 
 func (m *Model) finish(j *Job, a Answer) {
@@ -296,6 +329,7 @@
 // ran ends an RPC's work.
 func (m *Model) ran(j *Job) {
 	m.free++
+	j.ran = true
 	m.effect(j, func(first, ok bool) {
 		if !ok {
 			m.leaveLane(j, Answer{Code: failed, Message: "its token can't be looked up"})
@@ -374,7 +408,7 @@
 		if ok && m.rng.Float64() < m.set.Machine.LoadFails {
 			ok = false
 		}
-		if !ok {
+		if !ok || m.unwanted(fn) {
 			m.loaded(fn, false)
 			return
 		}
@@ -462,7 +496,7 @@
 }
 
 // Hold answers a load order: done is told once n copies stand, or can't.
-func (m *Model) Hold(function string, n int, memory float64, lanes int, load router.Time,
+func (m *Model) Hold(id any, function string, n int, memory float64, lanes int, load router.Time,
 	done func(code, stand int)) {
 	fn := m.function(function, memory, lanes, load)
 	if m.now < m.hungUntil {
@@ -484,7 +518,7 @@
 			return
 		}
 	}
-	fn.holds = append(fn.holds, &hold{n, done})
+	fn.holds = append(fn.holds, &hold{id, n, done})
 }
 
 // Look does what comes round: copies idle past the keep-alive go, and the report is made anew.
@@ -541,6 +575,7 @@
 	full      = -32010
 	missed    = -32011
 	failed    = -32012
+	calledOff = -32013
 	loadError = -32014
 )
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -308,7 +308,7 @@
 			w.keep(record.Record{Kind: record.Hold, Who: w.set.Name, FrontEnd: h.name, Function: j.Function, N: int(copies)})
 		}
 		w.loop.Post(func() {
-			w.model.Hold(j.Function, int(copies), j.Memory, j.Lanes, j.Load, func(code, stand int) {
+			w.model.Hold(string(key), j.Function, int(copies), j.Memory, j.Lanes, j.Load, func(code, stand int) {
 				data := append(strconv.AppendInt([]byte(`{"copies":`), int64(stand), 10), '}')
 				if code == 0 {
 					h.c.Write(jsonrpc.AppendResult(nil, key, data))
@@ -321,6 +321,8 @@
 		w.loop.Post(func() {
 			if job := h.jobs[string(called)]; job != nil {
 				w.model.CallOff(job)
+			} else if len(called) > 0 && called[0] == '"' {
+				w.model.Unhold(string(called))
 			}
 		})
 	case "host.ping":
