--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -336,6 +336,9 @@
 	var value []byte
 	if len(p.id) > 0 {
 		value = append(nil, p.id)
+		if change := p.c.s.o.Answer; change != nil {
+			value = change(value)
+		}
 	}
 	switch {
 	case p.batch != nil:
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -50,6 +50,7 @@
 	Customers []string // none: RPCs name no customer
 	Function  func(method int, name string) engine.Function
 	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
+	Answer    func(value []byte) []byte         // changes an answer as it leaves; nil: it goes as it is
 	Margin    router.Time                       // kept of each RPC's time for the answer's way to the client
 	Allow     access.List                       // none: every peer that can open the socket
 	Log       zerolog.Logger
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 type Outgoing struct {
 	Link   func(worker string, l engine.Link) engine.Link
 	Client func(c engine.Client) engine.Client
+	Answer func(value []byte) []byte
 }
 
 // Serve runs a front end until the context ends, and then takes no more RPCs, answers those that it holds, and
@@ -115,7 +116,7 @@
 			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut), Gate: gate(f)},
 		Margin: f.Clients.Margin, Allow: allow(f),
 		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(),
-		Wrap: o.Client, Log: log})
+		Wrap: o.Client, Answer: o.Answer, Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
 	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, srv}); return nil })
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -64,7 +64,9 @@
 func wrong(rule string) gateway.Outgoing {
 	w := &wrongSide{rule: rule, links: map[string]engine.Link{}}
 	switch rule {
-	case "1", "1 twice":
+	case "1 twice":
+		return gateway.Outgoing{Answer: w.twice}
+	case "1":
 		return gateway.Outgoing{Client: func(c engine.Client) engine.Client { return &wrongClient{Client: c, w: w} }}
 	case "2", "3", "4", "5":
 		return gateway.Outgoing{Link: w.link}
@@ -93,18 +95,23 @@
 	w *wrongSide
 }
 
-// OK answers twice, or never.
+// OK answers, or never does.
 func (c *wrongClient) OK(result []byte) {
-	c.w.answers++
-	switch {
-	case c.w.answers%20 != 0:
-		c.Client.OK(result)
-	case c.w.rule == "1 twice":
-		c.Client.OK(result)
+	if c.w.answers++; c.w.answers%20 != 0 {
 		c.Client.OK(result)
 	}
 }
 
+// twice has some answers leave twice.
+func (w *wrongSide) twice(value []byte) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.answers++; w.answers%20 == 0 {
+		return append(append(value, '\n'), value...)
+	}
+	return value
+}
+
 type wrongLink struct {
 	engine.Link
 	w *wrongSide
