--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -65,6 +65,7 @@
 	customers map[string]int
 	mu        sync.Mutex
 	conns     map[*conn]bool
+	accepted  chan struct{} // closed once no more connections are taken
 
 	now      router.Time
 	timers   turn.Timers
@@ -80,7 +81,7 @@
 func New(loop *turn.Loop, e *engine.Engine, o Options) *Server {
 	s := &Server{o: o, loop: loop, engine: e, methods: map[string]int{}, customers: map[string]int{},
 		conns: map[*conn]bool{}, gate: limits.New(o.Limits.Gate), repeats: repeats.New[*pending](),
-		works: map[*repeats.Group[*pending]]*work{}}
+		works: map[*repeats.Group[*pending]]*work{}, accepted: make(chan struct{})}
 	for i, m := range o.Methods {
 		s.methods[m.Name] = i
 	}
@@ -169,6 +170,7 @@
 			nc.Close()
 		}
 	}
+	close(s.accepted)
 	_ = all.Wait()
 	return failed
 }
@@ -209,7 +211,9 @@
 
 // CloseReads has clients' further writes fail: what they sent before is still read, and nothing is lost between a
 // write that went well and this front end. Connections end once all on them is answered.
+// It waits until the listener, which must be closed, gives no more.
 func (s *Server) CloseReads() {
+	<-s.accepted
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -217,6 +221,13 @@
 	}
 }
 
+// Connections is the number of clients' connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Begin tells the time of a turn.
 func (s *Server) Begin(now router.Time) { s.now = now }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -78,14 +79,19 @@
 	lives   map[string]life
 	version uint64
 	saves   chan []entry
+	told    chan struct{}
+	once    sync.Once
 }
 
 // New makes a follower; Run starts it.
 func New(loop *turn.Loop, e *engine.Engine, l *links.Set, o Options) *Follower {
 	return &Follower{o: o, loop: loop, engine: e, links: l, entries: map[string]entry{}, lives: map[string]life{},
-		saves: make(chan []entry, 1)}
+		saves: make(chan []entry, 1), told: make(chan struct{})}
 }
 
+// Told is closed once the roster, not the cache, has told a list.
+func (f *Follower) Told() <-chan struct{} { return f.told }
+
 var states = map[string]router.Readiness{"gone": router.Gone, "ready": router.Ready, "draining": router.Draining}
 
 // Run follows until the context ends. The cached list, if there is one, comes first.
@@ -273,6 +279,9 @@
 		}
 	}
 	f.engine.ListEnds()
+	if form != router.Cached {
+		f.once.Do(func() { close(f.told) })
+	}
 	f.o.Log.Debug().Uint64("version", version).Int("entries", len(workers)).Msg("list of workers")
 	f.save()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +19,7 @@
 	"mallowlanding/internal/clients"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/follow"
+	"mallowlanding/internal/handover"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/settings"
@@ -23,6 +27,9 @@
 	"mallowlanding/router"
 )
 
+// rosterPatience is how long a successor waits for the roster's list before it takes over by the cached one.
+const rosterPatience = 3 * time.Second
+
 // look is how often a leaving front end looks whether all is answered.
 const look = 5 * time.Millisecond
 
@@ -78,15 +85,39 @@
 	if err != nil {
 		return f.Clients.Errorf("mode: %v", err)
 	}
-	listener, err := clients.Listen(f.Clients.Socket, os.FileMode(mode))
+	listener, confirm, err := listen(f, os.FileMode(mode), log)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, f, log, listener, ready, o)
+	return serve(ctx, f, log, listener, confirm, ready, o)
+}
+
+// listen gives the client socket: a service manager's, a predecessor's, or a new one. Confirm tells the predecessor
+// that this process serves; nil: there is none.
+func listen(f *settings.FrontEnd, mode os.FileMode, log zerolog.Logger) (l *net.UnixListener, confirm func() error,
+	err error) {
+	if l, err = handover.Inherited(); err != nil || l != nil {
+		return l, nil, err
+	}
+	if f.Clients.HandOver != "" {
+		l, confirm, err = handover.Take(f.Clients.HandOver)
+		if err == nil {
+			log.Info().Str("from", f.Clients.HandOver).Msg("client socket taken over")
+			return l, confirm, nil
+		}
+		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, nil, fmt.Errorf("hand-over: %w", err)
+		}
+	}
+	made, err := clients.Listen(f.Clients.Socket, mode)
+	if err != nil {
+		return nil, nil, err
+	}
+	return made.(*net.UnixListener), nil, nil
 }
 
-func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener net.Listener, ready func(),
-	o Outgoing) error {
+func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener *net.UnixListener,
+	confirm func() error, ready func(), o Outgoing) error {
 	loop := turn.NewLoop()
 	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
 		CallOff: f.Clients.CallOff,
@@ -135,13 +166,24 @@
 		ready()
 	}
 
-	var err error
-	select {
-	case <-ctx.Done():
-	case err = <-failed:
+	handed, err := handOver(rest, &restGroup, f, listener, confirm, fo.Told())
+	if err == nil {
+		select {
+		case <-ctx.Done():
+		case err = <-failed:
+		case <-handed:
+			log.Info().Msg("client socket handed over: what is held is answered")
+		}
 	}
 	began := time.Now()
-	listener.Close()
+	isHanded := false
+	select {
+	case <-handed:
+		isHanded = true
+		srv.CloseReads() // what was sent by now is taken
+	default:
+		listener.Close()
+	}
 	within := turn.Duration(f.Stop.Within)
 	deadline := time.After(within)
 	open := make(chan int, 1)
@@ -149,10 +191,12 @@
 drain:
 	for {
 		loop.Post(func() {
-			srv.Drain()
+			if !isHanded {
+				srv.Drain()
+			}
 			open <- e.Counts().Open + srv.Open()
 		})
-		if left = <-open; left == 0 && srv.Flushed() {
+		if left = <-open; left == 0 && srv.Flushed() && (!isHanded || srv.Connections() == 0) {
 			break
 		}
 		select {
@@ -184,6 +228,39 @@
 	return err
 }
 
+// handOver confirms to a predecessor, and offers the socket to a successor; the channel is closed once one has it.
+func handOver(ctx context.Context, group *errgroup.Group, f *settings.FrontEnd, listener *net.UnixListener,
+	confirm func() error, told <-chan struct{}) (<-chan struct{}, error) {
+	handed := make(chan struct{})
+	if confirm != nil {
+		select { // it takes over once it knows of workers, or when the roster does not say
+		case <-told:
+		case <-time.After(rosterPatience):
+		}
+		if err := confirm(); err != nil {
+			return handed, fmt.Errorf("hand-over: %w", err)
+		}
+		listener.SetUnlinkOnClose(true) // the path is this process's now
+	}
+	if f.Clients.HandOver == "" {
+		return handed, nil
+	}
+	l, err := clients.Listen(f.Clients.HandOver, 0o600)
+	if err != nil {
+		return handed, err
+	}
+	group.Go(func() error {
+		if handover.Offer(ctx, l, listener, func() {
+			listener.SetUnlinkOnClose(false)
+			listener.Close()
+		}) {
+			close(handed)
+		}
+		return nil
+	})
+	return handed, nil
+}
+
 func gate(f *settings.FrontEnd) limits.Settings {
 	c := &f.Clients
 	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes},
