--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -250,6 +250,7 @@
 	Cores     int           `default:"2" help:"Cores that the front end may use."`
 	Payload   int           `default:"128" help:"Bytes of each payload."`
 	Functions int           `default:"4" help:"Functions asked for in turn."`
+	Flood     bool          `help:"Measure single RPCs beside a flooding neighbour instead."`
 	Work      time.Duration `default:"0s" help:"What an RPC takes at a worker."`
 	Rate      float64       `help:"RPCs a second of the open loop; by default half of what the front end reached."`
 }
@@ -260,8 +261,12 @@
 	if err != nil {
 		return err
 	}
-	return measure.Run(e.ctx, exe, measure.Options{Span: c.Span, Workers: c.Workers, Cores: c.Cores, Payload: c.Payload,
-		Functions: c.Functions, Rate: c.Rate, Work: c.Work}, e.out)
+	o := measure.Options{Span: c.Span, Workers: c.Workers, Cores: c.Cores, Payload: c.Payload, Functions: c.Functions,
+		Rate: c.Rate, Work: c.Work}
+	if c.Flood {
+		return measure.Flood(e.ctx, exe, o, e.out)
+	}
+	return measure.Run(e.ctx, exe, o, e.out)
 }
 
 type schemaCmd struct{}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -360,3 +360,35 @@
 		}
 	}
 }
+
+// Wasted is work for clients that had left or cancelled.
+type Wasted struct {
+	Quits, Late      int     // clients that left; RPCs that got a core later than the margin after that
+	Begun, Went, All float64 // ms of such work; of all work past the margin; of all work
+}
+
+// Waste sums up work done past a margin (ms) after its client had left.
+func Waste(records []record.Record, margin float64) (w Wasted) {
+	quit := map[string]int64{}
+	for _, r := range records {
+		if r.Kind == record.Quit {
+			w.Quits++
+			quit[r.RPC] = r.T + int64(margin*float64(ms))
+		}
+	}
+	for _, r := range records {
+		if r.Kind != record.Worked {
+			continue
+		}
+		w.All += r.Time
+		from, left := quit[r.RPC]
+		if past := float64(r.T-from) / float64(ms); left && past > 0 {
+			w.Went += min(past, r.Time)
+			if past >= r.Time {
+				w.Late++
+				w.Begun += r.Time
+			}
+		}
+	}
+	return w
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -11,6 +11,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"slices"
 
 	"mallowlanding/router"
 )
@@ -35,6 +36,9 @@
 // paceFade is the part of the gate's pace that one answer renews.
 const paceFade = 1. / 32
 
+// spareLines is how many connections with nothing waiting may be remembered before they are looked through.
+const spareLines = 64
+
 // PeerID is who a connection's other side is.
 type PeerID uint32
 
@@ -50,6 +54,7 @@
 	whole    use
 	peers    map[PeerID]*use
 	turns    []*Conn // with tickets waiting that may pass, in their order
+	lines    []*Conn // with tickets waiting, and some that had
 	waiting  int
 	order    uint64
 	pace     float64 // mean time between answers, in units
@@ -70,6 +75,7 @@
 	held   map[string]int // by function
 	all    int
 	inTurn bool
+	inLine bool // it is in the gate's lines
 }
 
 // Ticket is the handle of one RPC at the gate.
@@ -135,6 +141,13 @@
 	}
 	heap.Push(&c.line, t)
 	g.waiting++
+	if !c.inLine {
+		c.inLine = true
+		g.lines = append(g.lines, c)
+		if len(g.lines) > 2*g.waiting+spareLines {
+			g.prune()
+		}
+	}
 	g.queue(c)
 	return t, nil, displaced
 }
@@ -148,7 +161,8 @@
 
 // least is the waiting ticket of least gain, the latest of those, if it is less than gain.
 func (g *Gate) least(gain float64) (worst *Ticket) {
-	for _, c := range g.turns {
+	g.prune()
+	for _, c := range g.lines {
 		for _, t := range c.line {
 			if t.gain < gain && (worst == nil || cmp.Or(cmp.Compare(worst.gain, t.gain), cmp.Compare(t.order, worst.order)) > 0) {
 				worst = t
@@ -158,6 +172,14 @@
 	return worst
 }
 
+// prune forgets connections with nothing waiting.
+func (g *Gate) prune() {
+	g.lines = slices.DeleteFunc(g.lines, func(c *Conn) bool {
+		c.inLine = len(c.line) > 0
+		return !c.inLine
+	})
+}
+
 // queue puts a connection into the order of turns, where it has what may pass.
 func (g *Gate) queue(c *Conn) {
 	if !c.inTurn && len(c.line) > 0 && c.mayPass() {
--- /dev/null
+++ b/internal/measure/flood.go
@@ -0,0 +1,105 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/jsonrpc"
+)
+
+// Flood measures one client's single RPCs, one each 20 ms, beside a neighbour that keeps thousands open in batches:
+// with the gate's fair turns (held="16", the default) and without (held="0").
+func Flood(ctx context.Context, exe string, o Options, out io.Writer) error {
+	w := table.NewWriter()
+	w.SetOutputMirror(out)
+	w.SetStyle(table.StyleLight)
+	w.SetTitle("single RPCs beside a neighbour that keeps 5,000 open; %d stand-in workers, %v an RPC", o.Workers, o.Work)
+	w.AppendHeader(table.Row{"", "neighbour's RPCs/s", "single: sent", "not ok", "p50 ms", "p99 ms"})
+	for _, c := range []struct {
+		name string
+		held int
+		open int
+	}{{"alone", 16, 0}, {"fair turns", 16, 5000}, {"without", 0, 5000}} {
+		r, rate, err := flood(ctx, exe, o, c.held, c.open)
+		if err != nil {
+			return err
+		}
+		ms := func(q float64) string { return fmt.Sprintf("%.1f", float64(r.h.ValueAtQuantile(q))/1000) }
+		w.AppendRow(table.Row{c.name, fmt.Sprintf("%.0f", rate), r.h.TotalCount(), r.failed, ms(50), ms(99)})
+	}
+	w.Render()
+	return ctx.Err()
+}
+
+func flood(ctx context.Context, exe string, o Options, held, open int) (r result, rate float64, err error) {
+	dir, err := os.MkdirTemp("", "mallow")
+	if err != nil {
+		return r, 0, err
+	}
+	defer os.RemoveAll(dir)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	var procs, conns errgroup.Group
+	defer func() { end(); _ = procs.Wait(); _ = conns.Wait() }()
+	if err := start(ctx, &procs, exe, dir, o, fmt.Sprintf(`held="%d"`, held)); err != nil {
+		return r, 0, err
+	}
+	dial := func() (*jsonrpc.Caller, error) {
+		nc, err := net.Dial("unix", filepath.Join(dir, "front.sock"))
+		if err != nil {
+			return nil, err
+		}
+		c := jsonrpc.NewCaller(nc, valueLimit)
+		conns.Go(func() error { _ = c.Run(ctx); return nil })
+		return c, nil
+	}
+	neighbour, err := dial()
+	if err != nil {
+		return r, 0, err
+	}
+	single, err := dial()
+	if err != nil {
+		return r, 0, err
+	}
+	params := func(f int) []byte { return append(strconv.AppendInt([]byte(`{"function":"f`), int64(f), 10), `"}`...) }
+	for f := range o.Functions { // warm
+		single.Call(ctx, "query", params(f))
+	}
+	var done atomic.Int64
+	begin := time.Now()
+	var again func(n int)
+	again = func(n int) {
+		neighbour.Ask("query", params(n%o.Functions), func(a jsonrpc.Answer) {
+			if a.Err == nil && time.Since(begin) < o.Span {
+				if a.Code == 0 {
+					done.Add(1)
+				}
+				again(n)
+			}
+		})
+	}
+	for n := range open {
+		again(n)
+	}
+	time.Sleep(500 * time.Millisecond)
+	r.h = histogram()
+	for n := 0; time.Since(begin) < o.Span && ctx.Err() == nil; n++ {
+		sent := time.Now()
+		if a := single.Call(ctx, "query", params(n%o.Functions)); a.Err != nil || a.Code != 0 {
+			r.failed++
+		}
+		_ = r.h.RecordValue(time.Since(sent).Microseconds())
+		time.Sleep(20 * time.Millisecond)
+	}
+	return r, float64(done.Load()) / time.Since(begin).Seconds(), nil
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -21,6 +21,7 @@
 	Request = "request" // an RPC came; Cost is its method's mean work in core ms
 	Hold    = "hold"    // a load order for N copies came
 	Ended   = "ended"   // the worker answers an RPC; N is its error code, 0 for ok
+	Worked  = "worked"  // an RPC gives its core back; Time is how long it had it, in ms
 	Effect  = "effect"  // an RPC's effect happened
 	Dropped = "dropped" // a repeat's effect was dropped by its token
 	Fell    = "fell"    // the worker was pushed over
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -84,13 +84,21 @@
 	if c := p.conns[p.next]; c != nil && !c.Over() {
 		return c, nil
 	}
+	c, err := p.dial(ctx)
+	if err == nil {
+		p.conns[p.next] = c
+	}
+	return c, err
+}
+
+// dial makes a connection.
+func (p *pool) dial(ctx context.Context) (*jsonrpc.Caller, error) {
 	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", p.c.fleet.socket(p.i))
 	if err != nil {
 		return nil, errUnreached{err}
 	}
 	c := jsonrpc.NewCaller(nc, 1<<24)
 	c.Watch = true
-	p.conns[p.next] = c
 	p.c.open.Add(1)
 	go func() {
 		defer p.c.open.Done()
@@ -223,6 +231,9 @@
 		case <-ctx.Done():
 		}
 	}
+	if outcome == "quit" { // it wants nothing any more
+		return
+	}
 	took := time.Since(began)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,10 +264,19 @@
 // try sends one RPC and waits for its answer, for its time and some more: late answers are seen, too.
 func (c *callers) try(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
 	m *settings.Method, span time.Duration, repeat bool, rng *rand.Rand) (outcome string, sent bool, comeBack time.Duration) {
-	conn, err := c.pools[front].get(ctx)
+	impatient := rng.Float64() < c.s.Clients.Impatient
+	var conn *jsonrpc.Caller
+	var err error
+	if impatient { // it has a connection of its own, and may close that
+		conn, err = c.pools[front].dial(ctx)
+	} else {
+		conn, err = c.pools[front].get(ctx)
+	}
 	if err != nil {
 		return "lost", false, 0
 	}
+	patience := time.Duration(rng.Float64() * float64(turn.Duration(m.Soft)))
+	closes := rng.Intn(2) == 0
 	b := jsonrpc.AppendText([]byte(`{"function":`), function)
 	if mix.Customer != "" {
 		b = jsonrpc.AppendText(append(b, `,"customer":`...), mix.Customer)
@@ -280,12 +300,13 @@
 	keep(record.Sent, "")
 	got := make(chan jsonrpc.Answer, 1)
 	var answers atomic.Int32
+	var left atomic.Bool
 	conn.Ask(m.Name, b, func(a jsonrpc.Answer) {
 		// noted here, by the reader: also when nobody waits any more, and answers beyond the first
 		switch answered := answers.Add(1) > 1; {
 		case a.Err == nil:
 			keep(record.Answer, outcomeOf(a.Code))
-		case !answered:
+		case !answered && !left.Load():
 			keep(record.Lost, "")
 		}
 		select {
@@ -293,7 +314,25 @@
 		default:
 		}
 	})
+	gone := make(<-chan time.Time)
+	if impatient {
+		defer conn.Close()
+		gone = time.After(patience)
+	}
 	select {
+	case <-gone:
+		left.Store(true)
+		if closes {
+			keep(record.Quit, "")
+			return "quit", true, 0
+		}
+		conn.Tell("rpc.cancel", []byte(`{"id":1}`))
+		keep(record.Quit, "")
+		select { // its one answer is still owed
+		case <-got:
+		case <-time.After(span):
+		}
+		return "quit", true, 0
 	case a := <-got:
 		if a.Err != nil {
 			return "lost", true, 0
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -28,9 +28,13 @@
 // worstWindow is how many seconds the worst window has, as on the bench.
 const worstWindow = 10
 
+// leftMargin is how long after its client left work may still begin, in ms: two changes of process on a busy machine.
+const leftMargin = 20
+
 // Outcome is what a rehearsal found.
 type Outcome struct {
 	Audit   audit.Result
+	Waste   audit.Wasted
 	Methods map[string]*tally
 	Seconds []*tally
 }
@@ -125,8 +129,9 @@
 			}
 		}
 	}
-	return &Outcome{Audit: audit.Check(figures(s), append(seen, theirs...)), Methods: c.methods, Seconds: c.seconds},
-		ctx.Err()
+	all := append(seen, theirs...)
+	return &Outcome{Audit: audit.Check(figures(s), all), Waste: audit.Waste(all, leftMargin), Methods: c.methods,
+		Seconds: c.seconds}, ctx.Err()
 }
 
 func figures(s *settings.Scenario) audit.Figures {
@@ -200,6 +205,10 @@
 	a := o.Audit
 	fmt.Fprintf(out, "seen by clients, workers and roster: %d RPCs, %d answers, %d call-outs, %d load orders, %d effects\n",
 		a.RPCs, a.Answers, a.CallOuts, a.Orders, a.Effects)
+	if q := o.Waste; q.Quits > 0 {
+		fmt.Fprintf(out, "%d clients left: work begun later than %d ms after that %d times, %.0f ms; work past that %.0f ms of %.0f, %.2f%%\n",
+			q.Quits, leftMargin, q.Late, q.Begun, q.Went, q.All, 100*q.Went/max(q.All, 1e-9))
+	}
 	for rule := 1; rule <= 5; rule++ {
 		var breaks []audit.Break
 		for _, b := range a.Breaks {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -153,7 +153,7 @@
 	Peer         int         `a:"peer-open" def:"0" min:"0" max:"10000000"`
 	PeerBytes    int64       `a:"peer-bytes" def:"0" min:"0" max:"1099511627776"`
 	OpenBytes    int64       `a:"open-bytes" def:"67108864" min:"0" max:"1099511627776"`
-	Held         int         `a:"held" def:"64" min:"0" max:"1000000"`
+	Held         int         `a:"held" def:"16" min:"0" max:"1000000"`
 	Allow        []Allow     `e:"allow"`
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -380,6 +380,11 @@
 	}
 }
 
+// Worked implements World.
+func (w *worker) Worked(j *Job, span router.Time) {
+	w.keep(record.Record{Kind: record.Worked, Who: w.set.Name, RPC: j.Mark, Time: float64(span) / 10})
+}
+
 // Effect implements World.
 func (w *worker) Effect(j *Job, dropped bool) {
 	r := requestRecord(j, "")
