The clients' side in two parts: a desk that knows no protocol, and JSON-RPC on it

A second protocol needs the gate, joined repeats, cancelling and overdue answers as they are. They move from the JSON-RPC connections to internal/front, with the explorer; connections keep framing and encoding.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -2,14 +2,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,12 +16,10 @@
 	"golang.org/x/sys/unix"
 
 	"mallowlanding/internal/access"
-	"mallowlanding/internal/engine"
+	"mallowlanding/internal/front"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/limits"
-	"mallowlanding/internal/repeats"
 	"mallowlanding/internal/sock"
-	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -41,6 +36,7 @@
 	dec     jsonrpc.Decoder
 	headers atomic.Bool
 	right   access.Right
+	peer    limits.PeerID
 	turns   chan struct{} // room for RPCs that are on their way to the loop
 	batch   *batch        // the one that the reader is in
 
@@ -51,35 +47,18 @@
 	more    *sync.Cond
 
 	// the loop's
-	gate  *limits.Conn
-	open  map[*pending]bool
+	desk  *front.Conn
 	byID  map[string]*pending
-	gone  bool
 	dirty bool // it has answers of this turn
 }
 
-// pending is one RPC of the connection, or one part of a batch: where its answer goes. What follows the batch belongs
-// to the loop's goroutine.
+// pending is one RPC of the connection, or one part of a batch: where its answer goes. It is the desk's Reply; ask
+// belongs to the loop's goroutine.
 type pending struct {
 	c     *conn
 	id    jsonrpc.ID // empty: a notification
 	batch *batch
-
-	order  uint64
-	m      int
-	ps     params
-	until  router.Time // its client's time is up
-	ticket *limits.Ticket
-	timer  turn.Timer // while it waits at the gate, or joined another's work
-	work   *work
-}
-
-// work is one RPC at the engine and all who wait for its answer. It is the engine's Client.
-type work struct {
-	s     *Server
-	rpc   *engine.RPC
-	lead  *pending // whose ticket holds the place
-	group *repeats.Group[*pending]
+	ask   *front.Ask
 }
 
 // batch gathers answers until all its parts have theirs.
@@ -91,8 +70,8 @@
 }
 
 func newConn(s *Server, nc net.Conn, peer limits.PeerID, right access.Right) *conn {
-	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), turns: make(chan struct{}, s.o.Limits.Open), open: map[*pending]bool{},
-		byID: map[string]*pending{}, gate: s.gate.Open(peer), right: right}
+	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), turns: make(chan struct{}, s.o.Limits.Open), byID: map[string]*pending{}, right: right}
+	c.peer = peer
 	c.more = sync.NewCond(&c.mu)
 	return c
 }
@@ -148,7 +127,7 @@
 func (c *conn) awaitAnswers(ctx context.Context) {
 	for ctx.Err() == nil && !c.peerGone() {
 		none := make(chan bool, 1)
-		if !c.s.loop.Post(func() { none <- len(c.open) == 0 }) || <-none && c.waiting() == 0 {
+		if !c.s.loop.Post(func() { none <- c.at().Len() == 0 }) || <-none && c.waiting() == 0 {
 			return
 		}
 		select {
@@ -175,23 +154,17 @@
 
 // leave ends what is open; in a turn.
 func (c *conn) leave() {
-	c.gone = true
-	for _, p := range c.inOrder() {
-		p.forget()
-		if p.work != nil && p.work.leave(p) {
-			p.work.rpc.Left()
-		}
+	if c.desk != nil {
+		c.desk.Leave()
 	}
 }
 
-// inOrder is what is open, in the order in which it came.
-func (c *conn) inOrder() []*pending {
-	all := make([]*pending, 0, len(c.open))
-	for p := range c.open {
-		all = append(all, p)
+// at is the connection's place at the desk; in a turn.
+func (c *conn) at() *front.Conn {
+	if c.desk == nil {
+		c.desk = c.s.desk.Open(c.peer)
 	}
-	slices.SortFunc(all, func(a, b *pending) int { return cmp.Compare(a.order, b.order) })
-	return all
+	return c.desk
 }
 
 func (c *conn) waiting() int {
@@ -364,18 +337,10 @@
 	c.part(id).fail(jsonrpc.InvalidRequest, "a response, where nothing was asked")
 }
 
-// params are an RPC's, as the client named them.
-type params struct {
-	function, customer, token string
-	time                      float64 // ms; negative: not told
-	payload                   []byte
-	repeat                    bool
-}
-
 // Asked implements jsonrpc.Peer.
 func (c *conn) Asked(id jsonrpc.ID, method string, raw []byte) {
 	p := c.part(id)
-	m, known := c.s.methods[method]
+	m, known := c.s.desk.Method(method)
 	if method == "rpc.cancel" {
 		c.askedToCancel(p, raw)
 		return
@@ -385,14 +350,17 @@
 		return
 	}
 	ps, err := readParams(raw)
+	ps.Method = m
 	if err == nil {
-		err = c.s.checkParams(&c.s.o.Methods[m], ps)
+		if err = c.s.desk.Check(&ps); err != nil {
+			err = fmt.Errorf("params: %w", err)
+		}
 	}
 	if err != nil {
 		p.fail(jsonrpc.InvalidParams, err.Error())
 		return
 	}
-	if err := c.right.May(method, ps.customer); err != nil {
+	if err := c.right.May(method, ps.Customer); err != nil {
 		p.fail(NotAllowed, err.Error())
 		return
 	}
@@ -400,16 +368,15 @@
 	c.turns <- struct{}{}
 	if !c.s.loop.Post(func() {
 		<-c.turns
-		p.m, p.ps = m, ps
-		c.take(p, came)
+		c.take(p, ps, came)
 	}) {
 		<-c.turns
 		p.fail(Denied, "denied: the front end has stopped")
 	}
 }
 
-func readParams(raw []byte) (ps params, err error) {
-	ps.time = -1
+func readParams(raw []byte) (ps front.Params, err error) {
+	ps.Time = -1
 	if len(raw) == 0 || raw[0] != '{' {
 		return ps, errors.New("params must be an object that names them")
 	}
@@ -429,22 +396,22 @@
 		seen[n] = true
 		switch n {
 		case "function":
-			return text(&ps.function, n, v)
+			return text(&ps.Function, n, v)
 		case "customer":
-			return text(&ps.customer, n, v)
+			return text(&ps.Customer, n, v)
 		case "token":
-			return text(&ps.token, n, v)
+			return text(&ps.Token, n, v)
 		case "time_ms":
 			t, is := jsonrpc.Number(v)
-			if ps.time = t; !is || t < 0 {
+			if ps.Time = t; !is || t < 0 {
 				return errors.New(`params: "time_ms" must be a number of at least 0`)
 			}
 		case "repeat":
-			if ps.repeat = v.Kind() == 't'; v.Kind() != 't' && v.Kind() != 'f' {
+			if ps.Repeat = v.Kind() == 't'; v.Kind() != 't' && v.Kind() != 'f' {
 				return errors.New(`params: "repeat" must be true or false`)
 			}
 		case "payload":
-			ps.payload = bytes.Clone(v)
+			ps.Payload = bytes.Clone(v)
 		default:
 			return fmt.Errorf("params: unknown name %.80q", n)
 		}
@@ -453,21 +420,6 @@
 	return ps, err
 }
 
-func (s *Server) checkParams(m *engine.Method, ps params) error {
-	_, knownCustomer := s.customers[ps.customer]
-	switch {
-	case ps.function == "":
-		return errors.New(`params: "function" is missing or empty`)
-	case m.Effect == router.Tokened && ps.token == "":
-		return fmt.Errorf(`params: "token" is missing: method %q is tokened`, m.Name)
-	case len(s.customers) > 0 && ps.customer == "":
-		return errors.New(`params: "customer" is missing`)
-	case ps.customer != "" && !knownCustomer:
-		return fmt.Errorf("params: no customer %.80q", ps.customer)
-	}
-	return nil
-}
-
 // askedToCancel takes rpc.cancel: its answer tells whether an RPC of that id was open on this connection.
 func (c *conn) askedToCancel(p *pending, raw []byte) {
 	id := bytes.Clone(jsonrpc.Member(raw, "id"))
@@ -481,195 +433,47 @@
 			return jsonrpc.AppendResult(out, own, strconv.AppendBool(nil, open != nil))
 		})
 		if open != nil {
-			open.cancel()
+			open.ask.Cancel()
 		}
 	})
 }
 
-// take brings the RPC to the gate; in a turn.
-func (c *conn) take(p *pending, came time.Time) {
-	s := c.s
-	method := &s.o.Methods[p.m]
-	if c.gone {
-		return
-	}
-	if s.stopping {
-		p.deny("denied: this front end is leaving", 0)
-		return
-	}
+// take brings the RPC to the desk; in a turn.
+func (c *conn) take(p *pending, ps front.Params, came time.Time) {
 	if len(p.id) > 0 && c.byID[string(p.id)] != nil {
 		p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
 			return jsonrpc.AppendError(out, id, jsonrpc.InvalidRequest, "an RPC of this id is open on this connection", nil)
 		})
 		return
 	}
-	left := method.Deadline
-	if p.ps.time >= 0 {
-		left = min(left, router.Time(math.Min(p.ps.time*10, math.MaxInt32)))
-	}
-	p.until = s.now + left - turn.Span(time.Since(came)) // less what passed on the way here
-	t, refused, displaced := c.gate.Arrive(s.now, p.ps.function, int64(len(p.ps.payload)), method.Gain, p)
-	if refused != nil {
-		p.deny(refused.Reason, refused.ComeBack)
-		return
-	}
-	if displaced != nil {
-		d := displaced.Body.(*pending)
-		d.forget()
-		d.deny("denied: an RPC of more gain took its place", s.gate.ComeBack())
-	}
-	s.order++
-	p.ticket, p.order = t, s.order
-	s.timers.Set(&p.timer, p.until-s.o.Margin, func(router.Time) { p.expire() }) // its time is up at the gate
-	c.open[p] = true
 	if len(p.id) > 0 {
 		c.byID[string(p.id)] = p
 	}
+	p.ask = c.at().Take(ps, came, p)
 }
 
-// start hands the RPC to the engine, or has it join one at work; in a turn, once it has passed the gate.
-func (p *pending) start() {
-	s := p.c.s
-	s.timers.Stop(&p.timer)
-	method := &s.o.Methods[p.m]
-	w := &work{s: s, lead: p}
-	if method.Effect == router.Tokened {
-		key := repeats.Key{Method: method.Name, Customer: p.ps.customer, Token: p.ps.token}
-		group, decision := s.repeats.Come(key, p.ps.function, p.ps.payload, p)
-		switch decision {
-		case repeats.Differs:
-			p.forget()
-			p.failNow(jsonrpc.InvalidParams, "params: an RPC of this token is open that asks for something else")
-			return
-		case repeats.Joined:
-			p.work = s.works[group]
-			p.ticket.Held(false)
-			s.timers.Set(&p.timer, p.until-s.o.Margin, func(router.Time) { p.expire() })
-			return
-		}
-		w.group = group
-		s.works[group] = w
-	}
-	if other, meets := s.engine.Meets(p.ps.function); meets {
-		p.forget()
-		w.end()
-		p.failNow(jsonrpc.InvalidParams, fmt.Sprintf(
-			"params: function %.80q has the id of function %.80q: rename one of them", p.ps.function, other))
-		return
-	}
-	var client engine.Client = w
-	if s.o.Wrap != nil {
-		client = s.o.Wrap(w)
-	}
-	p.work = w
-	rpc := s.engine.Take(router.MethodID(p.m), method, router.CustomerID(s.customers[p.ps.customer]), p.ps.function,
-		s.o.Function(p.m, p.ps.function), p.ps.token, p.until-s.now, p.ps.repeat, p.ps.payload, client)
-	w.rpc = rpc
-}
-
-// cancel: the client wants no result any more, but its one answer.
-func (p *pending) cancel() {
-	switch {
-	case p.work == nil: // it waited at the gate, and never ran
-		p.forget()
-		p.deny("denied: cancelled", 0)
-	case p.work.leave(p):
-		p.work.group, p.work.lead = nil, p // the answer is this one's
-		p.work.rpc.Cancel()
-	default: // others wait for the same work: it goes on
-		p.part()
-	}
-}
-
-// expire: its time is up at the gate, or while another's work that it joined goes on.
-func (p *pending) expire() {
-	switch {
-	case p.work == nil:
-		p.forget()
-		p.deny("denied", p.c.s.gate.ComeBack())
-	case p.work.leave(p):
-		p.part()
-		p.work.rpc.Left()
-	default:
-		p.part()
-	}
-}
-
-// part answers a client that stops waiting for work that may have run, or may run yet.
-func (p *pending) part() {
-	p.forget()
-	if p.work.rpc.MayDeny() {
-		p.deny("denied", 0)
-		return
-	}
-	p.abort("it waited for an RPC of the same token")
-}
-
-// leave takes p out of who waits; it tells whether nobody does any more.
-func (w *work) leave(p *pending) (last bool) {
-	if w.group == nil {
-		return true
-	}
-	if last = w.group.Leave(p); last {
-		delete(w.s.works, w.group)
-	}
-	return last
-}
-
-// forget takes the RPC out of what is open.
-func (p *pending) forget() {
-	delete(p.c.open, p)
+// over notes that the RPC has its answer.
+func (p *pending) over() {
 	if p.c.byID[string(p.id)] == p {
 		delete(p.c.byID, string(p.id))
 	}
-	p.c.s.timers.Stop(&p.timer)
-	p.ticket.Done(p.c.s.now)
 }
 
-// end returns who waits for the work, and forgets its group.
-func (w *work) end() []*pending {
-	if w.group == nil {
-		if w.lead.c.open[w.lead] {
-			return []*pending{w.lead}
-		}
-		return nil
-	}
-	delete(w.s.works, w.group)
-	return w.group.Answer()
-}
-
-// OK implements engine.Client.
-func (w *work) OK(result []byte) {
-	for _, p := range w.end() {
-		p.forget()
-		p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
-	}
+// OK implements front.Reply.
+func (p *pending) OK(result []byte) {
+	p.over()
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
 }
 
-// Denied implements engine.Client.
-func (w *work) Denied(comeBack router.Time) {
-	for _, p := range w.end() {
-		p.forget()
-		p.deny("denied", comeBack)
-	}
-}
-
-// Aborted implements engine.Client.
-func (w *work) Aborted(cause string) {
-	for _, p := range w.end() {
-		p.forget()
-		p.abort(cause)
-	}
-}
-
-// Moved implements engine.Client.
-func (w *work) Moved(held bool) { w.lead.ticket.Held(held) }
-
-func (p *pending) deny(message string, comeBack router.Time) {
+// Denied implements front.Reply.
+func (p *pending) Denied(message string, comeBack router.Time) {
+	p.over()
 	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return appendDenied(out, id, message, comeBack) })
 }
 
-func (p *pending) abort(cause string) {
+// Aborted implements front.Reply.
+func (p *pending) Aborted(cause string) {
+	p.over()
 	p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
 		var data []byte
 		if cause != "" {
@@ -679,7 +483,10 @@
 	})
 }
 
-// failNow is fail in a turn.
-func (p *pending) failNow(code int, message string) {
-	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendError(out, id, code, message, nil) })
+// Refused implements front.Reply.
+func (p *pending) Refused(message string) {
+	p.over()
+	p.answer(true, func(out []byte, id jsonrpc.ID) []byte {
+		return jsonrpc.AppendError(out, id, jsonrpc.InvalidParams, "params: "+message, nil)
+	})
 }
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -18,10 +18,9 @@
 	"golang.org/x/sys/unix"
 
 	"mallowlanding/internal/access"
-	"mallowlanding/internal/engine"
+	"mallowlanding/internal/front"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/limits"
-	"mallowlanding/internal/repeats"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
@@ -35,9 +34,8 @@
 
 // Limits bound what clients may ask of one front end.
 type Limits struct {
-	Connections  int // connections at once
-	Open         int // RPCs open on one connection
-	Gate         limits.Settings
+	Connections  int           // connections at once
+	Open         int           // RPCs open on one connection
 	ValueBytes   int           // bytes of one JSON value
 	AnswerBytes  int           // bytes of answers that wait for a slow reader before no more is read from it
 	WriteTimeOut time.Duration // a reader that takes nothing for so long is cut off
@@ -45,50 +43,27 @@
 
 // Options are a server's settings.
 type Options struct {
-	Limits    Limits
-	Methods   []engine.Method
-	Customers []string // none: RPCs name no customer
-	Function  func(method int, name string) engine.Function
-	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
-	Answer    func(value []byte) []byte         // changes an answer as it leaves; nil: it goes as it is
-	Margin    router.Time                       // kept of each RPC's time for the answer's way to the client
-	Allow     access.List                       // none: every peer that can open the socket
-	Log       zerolog.Logger
+	Limits Limits
+	Answer func(value []byte) []byte // changes an answer as it leaves; nil: it goes as it is
+	Allow  access.List               // none: every peer that can open the socket
+	Log    zerolog.Logger
 }
 
-// Server takes connections. Fields from now on belong to the loop's goroutine.
+// Server takes connections. The last field belongs to the loop's goroutine.
 type Server struct {
-	o         Options
-	loop      *turn.Loop
-	engine    *engine.Engine
-	methods   map[string]int
-	customers map[string]int
-	mu        sync.Mutex
-	conns     map[*conn]bool
-	accepted  chan struct{} // closed once no more connections are taken
+	o        Options
+	loop     *turn.Loop
+	desk     *front.Desk
+	mu       sync.Mutex
+	conns    map[*conn]bool
+	accepted chan struct{} // closed once no more connections are taken
 
-	now      router.Time
-	timers   turn.Timers
-	gate     *limits.Gate
-	repeats  *repeats.Open[*pending]
-	works    map[*repeats.Group[*pending]]*work
-	order    uint64
-	stopping bool
-	dirty    []*conn // with answers of this turn
+	dirty []*conn // with answers of this turn
 }
 
-// New makes a server for an engine that loop drives.
-func New(loop *turn.Loop, e *engine.Engine, o Options) *Server {
-	s := &Server{o: o, loop: loop, engine: e, methods: map[string]int{}, customers: map[string]int{},
-		conns: map[*conn]bool{}, gate: limits.New(o.Limits.Gate), repeats: repeats.New[*pending](),
-		works: map[*repeats.Group[*pending]]*work{}, accepted: make(chan struct{})}
-	for i, m := range o.Methods {
-		s.methods[m.Name] = i
-	}
-	for i, c := range o.Customers {
-		s.customers[c] = i
-	}
-	return s
+// New makes a server for a desk that loop drives.
+func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
+	return &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, accepted: make(chan struct{})}
 }
 
 // Listen makes the socket at path. One that a dead process left is replaced; one that is served, or a file of
@@ -206,9 +181,6 @@
 	return int64(cred.Uid), int64(cred.Gid), nil
 }
 
-// Drain has RPCs that come from now on denied; it may be called in a turn alone.
-func (s *Server) Drain() { s.stopping = true }
-
 // CloseReads has clients' further writes fail: what they sent before is still read, and nothing is lost between a
 // write that went well and this front end. Connections end once all on them is answered.
 // It waits until the listener, which must be closed, gives no more.
@@ -228,28 +200,6 @@
 	return len(s.conns)
 }
 
-// Begin tells the time of a turn.
-func (s *Server) Begin(now router.Time) { s.now = now }
-
-// Pump hands to the engine what may pass the gate; it may be called in a turn alone, after its events.
-func (s *Server) Pump() {
-	s.timers.Fire(s.now)
-	for t := s.gate.Next(); t != nil; t = s.gate.Next() {
-		t.Body.(*pending).start()
-	}
-}
-
-// Due tells when the server wants a turn though nothing comes.
-func (s *Server) Due() (router.Time, bool) {
-	if s.gate.Ready() {
-		return s.now, true
-	}
-	return s.timers.Due()
-}
-
-// Open is the number of RPCs at the gate, which the engine has not taken yet.
-func (s *Server) Open() int { return s.gate.Waiting() }
-
 // Flush sends the turn's answers; it may be called in a turn alone, at its end.
 func (s *Server) Flush() {
 	for i, c := range s.dirty {
--- a/internal/clients/explore_test.go
+++ b/internal/front/explore_test.go
@@ -1,20 +1,16 @@
-package clients
+package front
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"mallowlanding/internal/access"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/ident"
-	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/terms"
-	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
 
@@ -24,11 +20,12 @@
 
 // world is one play. It is the link to the only worker.
 type world struct {
-	s       *Server
+	d       *Desk
 	e       *engine.Engine
 	now     router.Time
 	effect  string
-	conns   [2]*conn
+	conns   [2]*Conn
+	replies [2]reply
 	asked   [2]bool
 	left    [2]bool
 	out     []engine.CallOutID        // at the worker, without an end
@@ -71,11 +68,10 @@
 		terms.Methods: 1.0, terms.At(terms.Methods, 0, terms.Effect): effect,
 		terms.At(terms.Methods, 0, terms.Group): "all", terms.At(terms.Methods, 0, terms.Window): 20000.0,
 		terms.Path(terms.May, terms.CallOuts): 3.0, terms.Path(terms.May, terms.Retract): true}})
-	w.s = New(turn.NewLoop(), w.e, Options{Methods: []engine.Method{method},
-		Limits:   Limits{Open: 100, Gate: limits.Settings{Held: 64, ComeBack: 5000}},
+	w.d = NewDesk(w.e, Options{Methods: []engine.Method{method}, Gate: limits.Settings{Held: 64, ComeBack: 5000},
 		Function: func(int, string) engine.Function { return engine.Function{Memory: 100, Lanes: 4, Load: 1000} }})
 	for i := range w.conns {
-		w.conns[i] = newConn(w.s, fakeConn{}, limits.PeerID(i), access.Right{})
+		w.conns[i] = w.d.Open(limits.PeerID(i))
 	}
 	w.turn(func() {
 		w.e.ListBegins(router.Whole, 1)
@@ -88,14 +84,20 @@
 	return w
 }
 
-type fakeConn struct{ net.Conn }
+// reply keeps what one client is told.
+type reply struct{ told []string }
+
+func (r *reply) OK([]byte)                  { r.told = append(r.told, "ok") }
+func (r *reply) Denied(string, router.Time) { r.told = append(r.told, "denied") }
+func (r *reply) Aborted(string)             { r.told = append(r.told, "aborted") }
+func (r *reply) Refused(string)             { r.told = append(r.told, "refused") }
 
 // turn is one of the front end's, as the gateway has it.
 func (w *world) turn(f func()) {
-	w.s.Begin(w.now)
+	w.d.Begin(w.now)
 	w.e.Begin(w.now)
 	f()
-	w.s.Pump()
+	w.d.Pump()
 	w.e.End()
 }
 
@@ -104,7 +106,7 @@
 	end := w.now + span
 	for {
 		due, any := w.e.Due()
-		if d, is := w.s.Due(); is && (!any || d < due) {
+		if d, is := w.d.Due(); is && (!any || d < due) {
 			due, any = d, true
 		}
 		if !any || due > end {
@@ -163,25 +165,22 @@
 
 func (w *world) ask(i int) {
 	w.asked[i] = true
-	c := w.conns[i]
 	w.turn(func() {
-		p := c.part(jsonrpc.ID("7"))
-		p.ps = params{function: "f", token: "t", time: -1, payload: []byte("1")}
-		c.take(p, time.Now())
+		w.conns[i].Take(Params{Function: "f", Token: "t", Time: -1, Payload: []byte("1")}, time.Now(), &w.replies[i])
 	})
 }
 
 func (w *world) cancel(i int) {
 	w.turn(func() {
 		for p := range w.conns[i].open {
-			p.cancel()
+			p.Cancel()
 		}
 	})
 }
 
 func (w *world) leave(i int) {
 	w.left[i] = true
-	w.turn(w.conns[i].leave)
+	w.turn(w.conns[i].Leave)
 }
 
 // verdict lets time run out and tells what is wrong.
@@ -191,18 +190,17 @@
 	if w.broken != "" {
 		return w.broken
 	}
-	answers := 0
-	for i, c := range w.conns {
-		n := strings.Count(string(c.out), `"id":7`)
-		answers += n
+	for i := range w.conns {
+		told := w.replies[i].told
+		n := len(told)
 		switch {
 		case !w.asked[i] && n > 0, n > 1, w.asked[i] && !w.left[i] && n != 1:
-			return fmt.Sprintf("client %d has %d answers: %s", i, n, c.out)
-		case w.effect == router.SideEffecting && ran && !w.asked[1-i] && strings.Contains(string(c.out), "-32001"):
-			return fmt.Sprintf("denied, though it may have run: %s", c.out)
+			return fmt.Sprintf("client %d has %d answers: %s", i, n, told)
+		case w.effect == router.SideEffecting && ran && !w.asked[1-i] && slices.Contains(told, "denied"):
+			return "denied, though it may have run"
 		}
 	}
-	if c := w.e.Counts(); c.Open > 0 || w.s.gate.Waiting() > 0 || len(w.s.works) > 0 || len(w.conns[0].open)+len(w.conns[1].open) > 0 {
+	if c := w.e.Counts(); c.Open > 0 || w.d.Waiting() > 0 || w.d.Works() > 0 || len(w.conns[0].open)+len(w.conns[1].open) > 0 {
 		return fmt.Sprintf("something is still open: %+v", c)
 	}
 	return ""
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,377 @@
+// Package front is the part of the clients' side that no protocol has to do with: the gate before the engine, repeats
+// that join, cancelling, time that runs out, and who is owed an answer. Each protocol's front decodes what its clients
+// ask for, takes it here, and encodes the one answer.
+package front
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/repeats"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Reply is where an RPC's answer goes; exactly one of its methods is called, once, unless its connection leaves.
+type Reply interface {
+	OK(result []byte)
+	Denied(message string, comeBack router.Time) // 0: no advice when to come back
+	Aborted(cause string)
+	Refused(message string) // what it asks for is wrong; it never ran
+}
+
+// Options are a desk's settings.
+type Options struct {
+	Methods   []engine.Method
+	Customers []string // none: RPCs name no customer
+	Function  func(method int, name string) engine.Function
+	Margin    router.Time // kept of each RPC's time for the answer's way to the client
+	Gate      limits.Settings
+	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
+}
+
+// Params are what an RPC asks for.
+type Params struct {
+	Method   int // place in the settings
+	Function string
+	Customer string
+	Token    string
+	Time     float64 // how long its client waits, in ms; below 0: not told
+	Payload  []byte
+	Repeat   bool
+}
+
+// Desk is a front end's, for all of its protocols. It belongs to the loop's goroutine.
+type Desk struct {
+	o         Options
+	engine    *engine.Engine
+	methods   map[string]int
+	customers map[string]int
+	now       router.Time
+	timers    turn.Timers
+	gate      *limits.Gate
+	repeats   *repeats.Open[*Ask]
+	works     map[*repeats.Group[*Ask]]*work
+	order     uint64
+	stopping  bool
+}
+
+// NewDesk makes the desk of an engine.
+func NewDesk(e *engine.Engine, o Options) *Desk {
+	d := &Desk{o: o, engine: e, methods: map[string]int{}, customers: map[string]int{}, gate: limits.New(o.Gate),
+		repeats: repeats.New[*Ask](), works: map[*repeats.Group[*Ask]]*work{}}
+	for i, m := range o.Methods {
+		d.methods[m.Name] = i
+	}
+	for i, c := range o.Customers {
+		d.customers[c] = i
+	}
+	return d
+}
+
+// Method finds a method's place; any goroutine may ask.
+func (d *Desk) Method(name string) (place int, known bool) {
+	place, known = d.methods[name]
+	return place, known
+}
+
+// MethodAt is the method at a place; any goroutine may ask.
+func (d *Desk) MethodAt(place int) *engine.Method { return &d.o.Methods[place] }
+
+// Check tells what is missing or wrong in what is asked for; any goroutine may ask. The words are those of the
+// protocols' parameters.
+func (d *Desk) Check(p *Params) error {
+	m := &d.o.Methods[p.Method]
+	_, knownCustomer := d.customers[p.Customer]
+	switch {
+	case p.Function == "":
+		return errors.New(`"function" is missing or empty`)
+	case m.Effect == router.Tokened && p.Token == "":
+		return fmt.Errorf(`"token" is missing: method %q is tokened`, m.Name)
+	case len(d.customers) > 0 && p.Customer == "":
+		return errors.New(`"customer" is missing`)
+	case p.Customer != "" && !knownCustomer:
+		return fmt.Errorf("no customer %.80q", p.Customer)
+	}
+	return nil
+}
+
+// Begin tells the time of a turn.
+func (d *Desk) Begin(now router.Time) { d.now = now }
+
+// Pump hands to the engine what may pass the gate: after a turn's events, before the engine's end of the turn.
+func (d *Desk) Pump() {
+	d.timers.Fire(d.now)
+	for t := d.gate.Next(); t != nil; t = d.gate.Next() {
+		t.Body.(*Ask).start()
+	}
+}
+
+// Due tells when the desk wants a turn though nothing comes.
+func (d *Desk) Due() (router.Time, bool) {
+	if d.gate.Ready() {
+		return d.now, true
+	}
+	return d.timers.Due()
+}
+
+// Waiting is the number of RPCs at the gate, which the engine has not taken yet.
+func (d *Desk) Waiting() int { return d.gate.Waiting() }
+
+// Works is the number of tokened RPCs at work.
+func (d *Desk) Works() int { return len(d.works) }
+
+// Drain has RPCs that come from now on denied.
+func (d *Desk) Drain() { d.stopping = true }
+
+// Stopping tells whether RPCs that come are denied because the front end leaves.
+func (d *Desk) Stopping() bool { return d.stopping }
+
+// Conn is the handle of one client's connection.
+type Conn struct {
+	d    *Desk
+	gate *limits.Conn
+	open map[*Ask]bool
+	gone bool
+}
+
+// Open tells of a connection.
+func (d *Desk) Open(peer limits.PeerID) *Conn {
+	return &Conn{d: d, gate: d.gate.Open(peer), open: map[*Ask]bool{}}
+}
+
+// Len is the number of RPCs open on the connection.
+func (c *Conn) Len() int { return len(c.open) }
+
+// Gone tells whether the connection has left.
+func (c *Conn) Gone() bool { return c.gone }
+
+// Leave tells that the client is gone: nothing is owed on this connection any more.
+func (c *Conn) Leave() {
+	c.gone = true
+	for _, a := range c.inOrder() {
+		a.forget()
+		if a.work != nil && a.work.leave(a) {
+			a.work.rpc.Left()
+		}
+	}
+}
+
+// inOrder is what is open, in the order in which it came.
+func (c *Conn) inOrder() []*Ask {
+	all := make([]*Ask, 0, len(c.open))
+	for a := range c.open {
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b *Ask) int { return cmp.Compare(a.order, b.order) })
+	return all
+}
+
+// Ask is the handle of one RPC as its client sees it.
+type Ask struct {
+	c      *Conn
+	p      Params
+	reply  Reply
+	order  uint64
+	until  router.Time // its client's time is up
+	ticket *limits.Ticket
+	timer  turn.Timer // while it waits at the gate, or joined another's work
+	work   *work
+}
+
+// work is one RPC at the engine and all who wait for its answer. It is the engine's Client.
+type work struct {
+	d     *Desk
+	rpc   *engine.RPC
+	lead  *Ask // whose ticket holds the place
+	group *repeats.Group[*Ask]
+}
+
+// Take brings an RPC to the gate. Came is when it came in; what has passed since is taken off its time. The answer may
+// be given before Take returns; the handle is then over.
+func (c *Conn) Take(p Params, came time.Time, reply Reply) *Ask {
+	d := c.d
+	a := &Ask{c: c, p: p, reply: reply}
+	if c.gone {
+		return a
+	}
+	if d.stopping {
+		reply.Denied("denied: this front end is leaving", 0)
+		return a
+	}
+	method := &d.o.Methods[p.Method]
+	left := method.Deadline
+	if p.Time >= 0 {
+		left = min(left, router.Time(math.Min(p.Time*10, math.MaxInt32)))
+	}
+	a.until = d.now + left - turn.Span(time.Since(came))
+	t, refused, displaced := c.gate.Arrive(d.now, p.Function, int64(len(p.Payload)), method.Gain, a)
+	if refused != nil {
+		reply.Denied(refused.Reason, refused.ComeBack)
+		return a
+	}
+	if displaced != nil {
+		gives := displaced.Body.(*Ask)
+		gives.forget()
+		gives.reply.Denied("denied: an RPC of more gain took its place", d.gate.ComeBack())
+	}
+	d.order++
+	a.ticket, a.order = t, d.order
+	c.open[a] = true
+	d.timers.Set(&a.timer, a.until-d.o.Margin, func(router.Time) { a.expire() })
+	return a
+}
+
+// Over tells whether the RPC is open no more.
+func (a *Ask) Over() bool { return !a.c.open[a] }
+
+// start hands the RPC to the engine, or has it join one at work, once it has passed the gate.
+func (a *Ask) start() {
+	d := a.c.d
+	d.timers.Stop(&a.timer)
+	method := &d.o.Methods[a.p.Method]
+	w := &work{d: d, lead: a}
+	if method.Effect == router.Tokened {
+		key := repeats.Key{Method: method.Name, Customer: a.p.Customer, Token: a.p.Token}
+		group, decision := d.repeats.Come(key, a.p.Function, a.p.Payload, a)
+		switch decision {
+		case repeats.Differs:
+			a.forget()
+			a.reply.Refused("an RPC of this token is open that asks for something else")
+			return
+		case repeats.Joined:
+			a.work = d.works[group]
+			a.ticket.Held(false)
+			d.timers.Set(&a.timer, a.until-d.o.Margin, func(router.Time) { a.expire() })
+			return
+		}
+		w.group = group
+		d.works[group] = w
+	}
+	if other, meets := d.engine.Meets(a.p.Function); meets {
+		a.forget()
+		w.end()
+		a.reply.Refused(fmt.Sprintf("function %.80q has the id of function %.80q: rename one of them", a.p.Function, other))
+		return
+	}
+	var client engine.Client = w
+	if d.o.Wrap != nil {
+		client = d.o.Wrap(w)
+	}
+	a.work = w
+	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.customers[a.p.Customer]),
+		a.p.Function, d.o.Function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, client)
+}
+
+// Cancel tells that the client wants no result any more, but its one answer.
+func (a *Ask) Cancel() {
+	switch {
+	case a.Over():
+	case a.work == nil: // it waited at the gate, and never ran
+		a.forget()
+		a.reply.Denied("denied: cancelled", 0)
+	case a.work.leave(a):
+		a.work.group, a.work.lead = nil, a // the answer is this one's
+		a.work.rpc.Cancel()
+	default: // others wait for the same work: it goes on
+		a.part()
+	}
+}
+
+// Leave tells that the client wants nothing any more, not even an answer; others of its connection may.
+func (a *Ask) Leave() {
+	if a.Over() {
+		return
+	}
+	a.forget()
+	if a.work != nil && a.work.leave(a) {
+		a.work.rpc.Left()
+	}
+}
+
+// expire: its time is up at the gate, or while another's work that it joined goes on.
+func (a *Ask) expire() {
+	switch {
+	case a.work == nil:
+		a.forget()
+		a.reply.Denied("denied", a.c.d.gate.ComeBack())
+	case a.work.leave(a):
+		a.part()
+		a.work.rpc.Left()
+	default:
+		a.part()
+	}
+}
+
+// part answers a client that stops waiting for work that may have run, or may run yet.
+func (a *Ask) part() {
+	a.forget()
+	if a.work.rpc.MayDeny() {
+		a.reply.Denied("denied", 0)
+		return
+	}
+	a.reply.Aborted("it waited for an RPC of the same token")
+}
+
+// forget takes the RPC out of what is open.
+func (a *Ask) forget() {
+	delete(a.c.open, a)
+	a.c.d.timers.Stop(&a.timer)
+	a.ticket.Done(a.c.d.now)
+}
+
+// leave takes a out of who waits; it tells whether nobody does any more.
+func (w *work) leave(a *Ask) (last bool) {
+	if w.group == nil {
+		return true
+	}
+	if last = w.group.Leave(a); last {
+		delete(w.d.works, w.group)
+	}
+	return last
+}
+
+// end returns who waits for the work, and forgets its group.
+func (w *work) end() []*Ask {
+	if w.group == nil {
+		if w.lead.c.open[w.lead] {
+			return []*Ask{w.lead}
+		}
+		return nil
+	}
+	delete(w.d.works, w.group)
+	return w.group.Answer()
+}
+
+// OK implements engine.Client.
+func (w *work) OK(result []byte) {
+	for _, a := range w.end() {
+		a.forget()
+		a.reply.OK(result)
+	}
+}
+
+// Denied implements engine.Client.
+func (w *work) Denied(comeBack router.Time) {
+	for _, a := range w.end() {
+		a.forget()
+		a.reply.Denied("denied", comeBack)
+	}
+}
+
+// Aborted implements engine.Client.
+func (w *work) Aborted(cause string) {
+	for _, a := range w.end() {
+		a.forget()
+		a.reply.Aborted(cause)
+	}
+}
+
+// Moved implements engine.Client.
+func (w *work) Moved(held bool) { w.lead.ticket.Held(held) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"mallowlanding/internal/clients"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/follow"
+	"mallowlanding/internal/front"
 	"mallowlanding/internal/handover"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
@@ -37,19 +38,20 @@
 type machine struct {
 	*engine.Engine
 	links   *links.Set
+	desk    *front.Desk
 	clients *clients.Server
 }
 
 // Begin begins a turn.
 func (m *machine) Begin(now router.Time) {
-	m.clients.Begin(now)
+	m.desk.Begin(now)
 	m.Engine.Begin(now)
 }
 
 // Due tells when a turn is wanted though nothing comes.
 func (m *machine) Due() (router.Time, bool) {
 	a, anyA := m.Engine.Due()
-	b, anyB := m.clients.Due()
+	b, anyB := m.desk.Due()
 	if anyA && (!anyB || a < b) {
 		return a, true
 	}
@@ -58,7 +60,7 @@
 
 // End ends a turn.
 func (m *machine) End() {
-	m.clients.Pump()
+	m.desk.Pump()
 	m.Engine.End()
 	m.links.Flush()
 	m.clients.Flush()
@@ -126,7 +128,7 @@
 	// parts end in turn: first the clients' side, once all is answered, then the rest, last the loop
 	rest, endRest := context.WithCancel(context.Background())
 	defer endRest()
-	front, endFront := context.WithCancel(context.Background())
+	clientSide, endFront := context.WithCancel(context.Background())
 	defer endFront()
 	loopCtx, endLoop := context.WithCancel(context.Background())
 	defer endLoop()
@@ -141,21 +143,21 @@
 	for i, c := range f.Service.Customers {
 		customers[i] = c.Name
 	}
-	srv := clients.New(loop, e, clients.Options{
+	desk := front.NewDesk(e, front.Options{Methods: f.Service.EngineMethods(), Customers: customers,
+		Function: f.Service.FunctionFor(), Margin: f.Clients.Margin, Gate: gate(f), Wrap: o.Client})
+	srv := clients.New(loop, desk, clients.Options{
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
-			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut), Gate: gate(f)},
-		Margin: f.Clients.Margin, Allow: allow(f),
-		Methods: f.Service.EngineMethods(), Customers: customers, Function: f.Service.FunctionFor(),
-		Wrap: o.Client, Answer: o.Answer, Log: log})
+			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
+		Answer: o.Answer, Allow: allow(f), Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
-	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, srv}); return nil })
+	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, desk, srv}); return nil })
 	restGroup.Go(func() error { return fo.Run(rest) })
 	restGroup.Go(func() error { return fo.Keep(rest) })
 	failed := make(chan error, 1)
 	frontGroup.Go(func() error {
-		err := srv.Serve(front, listener)
+		err := srv.Serve(clientSide, listener)
 		if err != nil {
 			failed <- err
 		}
@@ -192,9 +194,9 @@
 	for {
 		loop.Post(func() {
 			if !isHanded {
-				srv.Drain()
+				desk.Drain()
 			}
-			open <- e.Counts().Open + srv.Open()
+			open <- e.Counts().Open + desk.Waiting()
 		})
 		if left = <-open; left == 0 && srv.Flushed() && (!isHanded || srv.Connections() == 0) {
 			break
