Infers over HTTP: the KServe v2 protocol with binary tensors, on the clients' desk

An infer of unknown effect is side-effecting. Stand-in workers run identity and sum. Scenarios over real sockets cover all paths, both forms, misfits of shape and bytes, deadlines and leaving.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -89,6 +89,16 @@
 		saves: make(chan []entry, 1), told: make(chan struct{})}
 }
 
+// Ready tells whether the list names a worker that is ready; in a turn.
+func (f *Follower) Ready() bool {
+	for _, e := range f.entries {
+		if e.State == "ready" {
+			return true
+		}
+	}
+	return false
+}
+
 // Told is closed once the roster, not the cache, has told a list.
 func (f *Follower) Told() <-chan struct{} { return f.told }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"mallowlanding/internal/follow"
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/handover"
+	"mallowlanding/internal/kserve"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/settings"
@@ -155,7 +156,7 @@
 	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, desk, srv}); return nil })
 	restGroup.Go(func() error { return fo.Run(rest) })
 	restGroup.Go(func() error { return fo.Keep(rest) })
-	failed := make(chan error, 1)
+	failed := make(chan error, 3)
 	frontGroup.Go(func() error {
 		err := srv.Serve(clientSide, listener)
 		if err != nil {
@@ -163,12 +164,19 @@
 		}
 		return err
 	})
+	ks, err := serveKServe(f, &frontGroup, loop, desk, fo, failed, log)
+	if err != nil {
+		failed <- err
+	}
 	log.Info().Str("socket", f.Clients.Socket).Int("number", f.Number).Int("of", f.Of).Msg("front end takes RPCs")
 	if ready != nil {
 		ready()
 	}
 
-	handed, err := handOver(rest, &restGroup, f, listener, confirm, fo.Told())
+	var handed <-chan struct{}
+	if err == nil {
+		handed, err = handOver(rest, &restGroup, f, listener, confirm, fo.Told())
+	}
 	if err == nil {
 		select {
 		case <-ctx.Done():
@@ -212,6 +220,12 @@
 	c := <-counts
 	// what was sent by now is read, and denied; what comes later can't be sent
 	srv.CloseReads()
+	if ks != nil {
+		last, end := context.WithTimeout(context.Background(), within)
+		ks.Drain(last)
+		end()
+		ks.Close()
+	}
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = frontGroup.Wait() }()
 	select {
@@ -230,6 +244,57 @@
 	return err
 }
 
+// serveKServe runs the second front, where the settings have one.
+func serveKServe(f *settings.FrontEnd, group *errgroup.Group, loop *turn.Loop, desk *front.Desk, fo *follow.Follower,
+	failed chan<- error, log zerolog.Logger) (*kserve.Server, error) {
+	k := f.KServe
+	if k == nil {
+		return nil, nil
+	}
+	o := kserve.Options{Name: f.Name, BodyBytes: k.BodyBytes, TimeHeader: k.TimeHeader,
+		CustomerHeader: k.CustomerHeader, TokenHeader: k.TokenHeader, Ready: fo.Ready, Log: log}
+	for i := range k.Models {
+		m := &k.Models[i]
+		o.Models = append(o.Models, kserve.Model{Name: m.Name, Version: m.Version, Platform: m.Platform,
+			Method: k.MethodOf(&f.Service, m), Function: m.FunctionOf(), Inputs: metas(m.Inputs), Outputs: metas(m.Outputs)})
+	}
+	s := kserve.New(loop, desk, o)
+	var listeners []net.Listener
+	if k.Socket != "" {
+		l, err := clients.Listen(k.Socket, 0o600)
+		if err != nil {
+			return s, err
+		}
+		listeners = append(listeners, l)
+	}
+	if k.Address != "" {
+		l, err := net.Listen("tcp", k.Address)
+		if err != nil {
+			return s, err
+		}
+		listeners = append(listeners, l)
+	}
+	for _, l := range listeners {
+		log.Info().Str("address", l.Addr().String()).Msg("front end takes infers")
+		group.Go(func() error {
+			err := s.Serve(l)
+			if err != nil {
+				failed <- err
+			}
+			return err
+		})
+	}
+	return s, nil
+}
+
+func metas(ts []settings.Tensor) (out []kserve.TensorMeta) {
+	for i := range ts {
+		dims, _ := ts[i].Dims() // checked with the settings
+		out = append(out, kserve.TensorMeta{Name: ts[i].Name, Datatype: ts[i].Datatype, Shape: dims})
+	}
+	return out
+}
+
 // handOver confirms to a predecessor, and offers the socket to a successor; the channel is closed once one has it.
 func handOver(ctx context.Context, group *errgroup.Group, f *settings.FrontEnd, listener *net.UnixListener,
 	confirm func() error, told <-chan struct{}) (<-chan struct{}, error) {
--- /dev/null
+++ b/internal/kserve/http.go
@@ -0,0 +1,390 @@
+package kserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/front"
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/tensor"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// TensorMeta is what the metadata tell of an input or output; -1 in a shape: of any length.
+type TensorMeta struct {
+	Name, Datatype string
+	Shape          []int64
+}
+
+// Model is one version of a model that is served: a function, asked for by a method.
+type Model struct {
+	Name, Version, Platform string
+	Method                  int // place in the settings
+	Function                string
+	Inputs, Outputs         []TensorMeta
+}
+
+// Options are a server's settings.
+type Options struct {
+	Name                                    string // of the server, in its metadata
+	Models                                  []Model
+	BodyBytes                               int64 // a larger body is refused before it is read
+	TimeHeader, CustomerHeader, TokenHeader string
+	Ready                                   func() bool // in a turn: RPCs are taken, and somebody could run them
+	Log                                     zerolog.Logger
+}
+
+// Server answers the protocol's HTTP paths.
+type Server struct {
+	o      Options
+	loop   *turn.Loop
+	desk   *front.Desk
+	models map[string][]*Model // versions of each, in their order
+	http   http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]*peer
+}
+
+// peer is one HTTP connection's place at the desk; its fields are the loop's.
+type peer struct {
+	conn *front.Conn
+}
+
+type connKey struct{}
+
+// New makes a server for a desk that loop drives.
+func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
+	s := &Server{o: o, loop: loop, desk: d, models: map[string][]*Model{}, conns: map[net.Conn]*peer{}}
+	for i := range o.Models {
+		m := &s.o.Models[i]
+		s.models[m.Name] = append(s.models[m.Name], m)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v2/health/live", func(w http.ResponseWriter, _ *http.Request) { write(w, 200, []byte(`{"live":true}`)) })
+	mux.HandleFunc("GET /v2/health/ready", s.ready)
+	mux.HandleFunc("GET /v2", s.metadata)
+	for _, version := range []string{"", "/versions/{version}"} {
+		mux.HandleFunc("GET /v2/models/{model}"+version, s.modelMetadata)
+		mux.HandleFunc("GET /v2/models/{model}"+version+"/ready", s.modelReady)
+		mux.HandleFunc("POST /v2/models/{model}"+version+"/infer", s.infer)
+	}
+	for _, path := range []string{"/v2/repository/", "/v2/models/{model}/config", "/v2/models/{model}/stats",
+		"/v2/models/{model}/generate", "/v2/systemsharedmemory/", "/v2/cudasharedmemory/"} {
+		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			fail(w, http.StatusNotImplemented, "not served here: "+r.URL.Path)
+		})
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		fail(w, http.StatusNotFound, fmt.Sprintf("no such path, or not by %s: %.80s", r.Method, r.URL.Path))
+	})
+	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeOut, ConnContext: s.connected,
+		ConnState: s.state}
+	return s
+}
+
+// headerTimeOut bounds how long a client may take over its headers.
+const headerTimeOut = 10 * time.Second
+
+// Serve takes connections until Close or Drain.
+func (s *Server) Serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Drain takes no more connections, and returns once all that came are answered or the context ends.
+func (s *Server) Drain(ctx context.Context) { _ = s.http.Shutdown(ctx) }
+
+// Close ends all connections.
+func (s *Server) Close() { _ = s.http.Close() }
+
+func (s *Server) connected(ctx context.Context, nc net.Conn) context.Context {
+	p := &peer{}
+	s.mu.Lock()
+	s.conns[nc] = p
+	s.mu.Unlock()
+	return context.WithValue(ctx, connKey{}, p)
+}
+
+func (s *Server) state(nc net.Conn, state http.ConnState) {
+	if state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	s.mu.Lock()
+	p := s.conns[nc]
+	delete(s.conns, nc)
+	s.mu.Unlock()
+	if p != nil {
+		s.loop.Post(func() {
+			if p.conn != nil {
+				p.conn.Leave()
+			}
+		})
+	}
+}
+
+func write(w http.ResponseWriter, status int, body []byte) {
+	if w.Header().Get("Content-Type") == "" {
+		w.Header().Set("Content-Type", "application/json")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func fail(w http.ResponseWriter, status int, message string) {
+	write(w, status, append(jsonrpc.AppendText([]byte(`{"error":`), message), '}'))
+}
+
+// isReady asks in a turn.
+func (s *Server) isReady() bool {
+	got := make(chan bool, 1)
+	if !s.loop.Post(func() { got <- !s.desk.Stopping() && (s.o.Ready == nil || s.o.Ready()) }) {
+		return false
+	}
+	return <-got
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.isReady() {
+		write(w, 200, []byte(`{"ready":true}`))
+		return
+	}
+	write(w, http.StatusServiceUnavailable, []byte(`{"ready":false}`))
+}
+
+func (s *Server) metadata(w http.ResponseWriter, _ *http.Request) {
+	b := jsonrpc.AppendText([]byte(`{"name":`), s.o.Name)
+	write(w, 200, append(b, `,"version":"2","extensions":["binary_tensor_data"]}`...))
+}
+
+// model finds the model that a path names; without a version the last one stated is meant.
+func (s *Server) model(w http.ResponseWriter, r *http.Request) *Model {
+	name, version := r.PathValue("model"), r.PathValue("version")
+	versions := s.models[name]
+	for i := len(versions) - 1; i >= 0; i-- {
+		if version == "" || versions[i].Version == version {
+			return versions[i]
+		}
+	}
+	if len(versions) == 0 {
+		fail(w, http.StatusNotFound, fmt.Sprintf("no model %.80q", name))
+	} else {
+		fail(w, http.StatusNotFound, fmt.Sprintf("model %q has no version %.80q", name, version))
+	}
+	return nil
+}
+
+func (s *Server) modelReady(w http.ResponseWriter, r *http.Request) {
+	m := s.model(w, r)
+	if m == nil {
+		return
+	}
+	ready, status := s.isReady(), 200
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	b := jsonrpc.AppendText([]byte(`{"name":`), m.Name)
+	write(w, status, append(strconv.AppendBool(append(b, `,"ready":`...), ready), '}'))
+}
+
+func (s *Server) modelMetadata(w http.ResponseWriter, r *http.Request) {
+	m := s.model(w, r)
+	if m == nil {
+		return
+	}
+	b := jsonrpc.AppendText([]byte(`{"name":`), m.Name)
+	b = append(b, `,"versions":[`...)
+	for i, v := range s.models[m.Name] {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = jsonrpc.AppendText(b, v.Version)
+	}
+	b = jsonrpc.AppendText(append(b, `],"platform":`...), m.Platform)
+	for _, part := range []struct {
+		name string
+		ts   []TensorMeta
+	}{{"inputs", m.Inputs}, {"outputs", m.Outputs}} {
+		b = append(append(append(b, `,"`...), part.name...), `":[`...)
+		for i, t := range part.ts {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = jsonrpc.AppendText(append(b, `{"name":`...), t.Name)
+			b = jsonrpc.AppendText(append(b, `,"datatype":`...), t.Datatype)
+			b = append(tensor.AppendShape(append(b, `,"shape":`...), t.Shape), '}')
+		}
+		b = append(b, ']')
+	}
+	write(w, 200, append(b, '}'))
+}
+
+// check holds an infer against the model's metadata, where they name inputs or outputs: what is wrong is said before
+// anything runs.
+func (m *Model) check(in *infer) error {
+	for _, t := range in.inputs {
+		at := slices.IndexFunc(m.Inputs, func(i TensorMeta) bool { return i.Name == t.Name })
+		if at < 0 && len(m.Inputs) > 0 {
+			return fmt.Errorf("model %q has no input %q", m.Name, t.Name)
+		}
+		if at >= 0 && (m.Inputs[at].Datatype != t.Datatype || !fits(m.Inputs[at].Shape, t.Shape)) {
+			return fmt.Errorf("input %q is %s %v, model %q takes %s %v", t.Name, t.Datatype, t.Shape, m.Name,
+				m.Inputs[at].Datatype, m.Inputs[at].Shape)
+		}
+	}
+	for _, i := range m.Inputs {
+		if !slices.ContainsFunc(in.inputs, func(t tensor.Tensor) bool { return t.Name == i.Name }) {
+			return fmt.Errorf("input %q of model %q is missing", i.Name, m.Name)
+		}
+	}
+	for _, o := range in.outputs {
+		if len(m.Outputs) > 0 && !slices.ContainsFunc(m.Outputs, func(t TensorMeta) bool { return t.Name == o.name }) {
+			return fmt.Errorf("model %q has no output %q", m.Name, o.name)
+		}
+	}
+	return nil
+}
+
+// fits tells whether a shape is one of those that want allows.
+func fits(want, got []int64) bool {
+	if len(want) != len(got) {
+		return false
+	}
+	for i := range want {
+		if want[i] >= 0 && want[i] != got[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// reply waits for an RPC's one answer.
+type reply chan func(w http.ResponseWriter) (value []byte)
+
+// OK implements front.Reply.
+func (r reply) OK(result []byte) { r <- func(http.ResponseWriter) []byte { return result } }
+
+// Denied implements front.Reply.
+func (r reply) Denied(message string, comeBack router.Time) {
+	r <- func(w http.ResponseWriter) []byte {
+		// whole seconds are all that the header knows: at least one, so that nobody comes back at once
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Max(1, math.Ceil(float64(comeBack)/10000)))))
+		fail(w, http.StatusServiceUnavailable, message)
+		return nil
+	}
+}
+
+// Aborted implements front.Reply.
+func (r reply) Aborted(cause string) {
+	r <- func(w http.ResponseWriter) []byte {
+		fail(w, http.StatusInternalServerError, "aborted, it may have run: "+cause)
+		return nil
+	}
+}
+
+// Refused implements front.Reply.
+func (r reply) Refused(message string) {
+	r <- func(w http.ResponseWriter) []byte { fail(w, http.StatusBadRequest, message); return nil }
+}
+
+func (s *Server) infer(w http.ResponseWriter, r *http.Request) {
+	came := time.Now()
+	m := s.model(w, r)
+	if m == nil {
+		return
+	}
+	if r.ContentLength > s.o.BodyBytes {
+		w.Header().Set("Connection", "close")
+		fail(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of %d bytes, %d are taken", r.ContentLength, s.o.BodyBytes))
+		return
+	}
+	p := front.Params{Method: m.Method, Function: m.Function, Time: -1,
+		Customer: r.Header.Get(s.o.CustomerHeader), Token: r.Header.Get(s.o.TokenHeader)}
+	if text := r.Header.Get(s.o.TimeHeader); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || ms < 0 || math.IsInf(ms, 0) || math.IsNaN(ms) {
+			fail(w, http.StatusBadRequest, fmt.Sprintf("header %s must be a time in ms, not %.40q", s.o.TimeHeader, text))
+			return
+		}
+		p.Time = ms
+	}
+	head := -1
+	if text := r.Header.Get("Inference-Header-Content-Length"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			fail(w, http.StatusBadRequest, fmt.Sprintf("header Inference-Header-Content-Length is no length: %.40q", text))
+			return
+		}
+		head = int(n)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.o.BodyBytes))
+	if err != nil {
+		status := http.StatusBadRequest
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		fail(w, status, "body: "+err.Error())
+		return
+	}
+	in, err := readInfer(body, head)
+	if err == nil {
+		err = m.check(&in)
+	}
+	if err == nil {
+		err = s.desk.Check(&p)
+	}
+	if err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	p.Payload = in.payload(m.Name, m.Version)
+	got, at := make(reply, 1), r.Context().Value(connKey{}).(*peer)
+	var ask *front.Ask
+	if !s.loop.Post(func() {
+		if at.conn == nil {
+			at.conn = s.desk.Open(limits.PeerID(0))
+		}
+		ask = at.conn.Take(p, came, got)
+	}) {
+		got.Denied("denied: this front end has stopped", 0)
+	}
+	select {
+	case answer := <-got:
+		value := answer(w)
+		if value == nil {
+			return
+		}
+		body, head, err := in.answer(m.Name, m.Version, value)
+		if err != nil { // it ran: a client must not take this for a denial
+			fail(w, http.StatusInternalServerError, err.Error())
+			return
+		}
+		if head > 0 {
+			w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(head))
+			w.Header().Set("Content-Type", "application/octet-stream")
+		}
+		write(w, 200, body)
+	case <-r.Context().Done(): // the client has left
+		s.loop.Post(func() {
+			if ask != nil {
+				ask.Leave()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/kserve/http_test.go
@@ -0,0 +1,255 @@
+package kserve_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"mallowlanding/internal/gateway"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start runs a roster, a stand-in worker with models, and a front end with both fronts; it returns the folder of
+// their sockets.
+func start(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "ml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() { cancel(); running.Wait(); os.RemoveAll(dir) })
+	run := func(serve func(ready func()) error) {
+		ready := make(chan struct{})
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			if err := serve(func() { close(ready) }); err != nil {
+				t.Error(err)
+			}
+		}()
+		<-ready
+	}
+	files, err := filepath.Glob("testdata/*.xml")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(dir, filepath.Base(file)), bytes.ReplaceAll(text, []byte("DIR"), []byte(dir)), 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	rs, err := settings.ReadRoster(filepath.Join(dir, "roster.xml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ws, err := settings.ReadWorker(filepath.Join(dir, "worker.xml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fs, err := settings.ReadFrontEnd(filepath.Join(dir, "front.xml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(func(ready func()) error { return standin.Roster(ctx, rs, zerolog.Nop(), ready) })
+	run(func(ready func()) error { return standin.Worker(ctx, ws, 0, zerolog.Nop(), ready) })
+	run(func(ready func()) error { return gateway.Serve(ctx, fs, zerolog.Nop(), ready) })
+	time.Sleep(100 * time.Millisecond) // the list comes
+	return dir
+}
+
+// Scenarios, each under a line of '== NAME':
+//
+//	> METHOD PATH         a request
+//	> NAME: VALUE         a header of it
+//	> "GO STRING"         a part of its body; > TEXT likewise as it is
+//	< STATUS              its answer
+//	< NAME: VALUE         a header of it
+//	< TEXT                its JSON; "*" stands for anything
+//	< "GO STRING"         the bytes behind the JSON
+func TestHTTP(t *testing.T) {
+	dir := start(t)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", filepath.Join(dir, "kserve.sock"))
+	}}
+	defer transport.CloseIdleConnections()
+	text, err := os.ReadFile("testdata/http.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, all, _ := strings.Cut("\n"+string(text), "\n== ")
+	for part := range strings.SplitSeq(all, "\n== ") {
+		name, steps, _ := strings.Cut(part, "\n")
+		t.Run(name, func(t *testing.T) {
+			if err := play(transport, strings.Split(steps, "\n")); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func play(transport http.RoundTripper, lines []string) error {
+	var r *http.Request
+	var body, rest []byte
+	var answer *http.Response
+	for _, line := range lines {
+		if len(line) < 3 {
+			continue
+		}
+		what, value := line[:2], line[2:]
+		literal, quoted := strconv.Unquote(value)
+		header, headerValue, isHeader := strings.Cut(value, ": ")
+		isHeader = isHeader && !strings.ContainsAny(header, `{" `)
+		switch {
+		case what == "> " && (strings.HasPrefix(value, "GET ") || strings.HasPrefix(value, "POST ")):
+			method, path, _ := strings.Cut(value, " ")
+			var err error
+			if r, err = http.NewRequest(method, "http://front"+path, nil); err != nil {
+				return err
+			}
+			body, answer = nil, nil
+		case what == "> " && isHeader:
+			r.Header.Set(header, headerValue)
+		case what == "> " && quoted == nil:
+			body = append(body, literal...)
+		case what == "> ":
+			body = append(body, value...)
+		case what == "< " && answer == nil:
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+			var err error
+			if answer, err = transport.RoundTrip(r); err != nil {
+				return err
+			}
+			rest, err = io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if err != nil {
+				return err
+			}
+			if strconv.Itoa(answer.StatusCode) != value {
+				return fmt.Errorf("%s %s: %d, %s", r.Method, r.URL.Path, answer.StatusCode, rest)
+			}
+			if n, err := strconv.Atoi(answer.Header.Get("Inference-Header-Content-Length")); err == nil {
+				body, rest = rest[:n], rest[n:]
+			} else {
+				body, rest = rest, nil
+			}
+		case isHeader:
+			if got := answer.Header.Get(header); got != headerValue && headerValue != "*" {
+				return fmt.Errorf("header %s is %q", header, got)
+			}
+		case quoted == nil:
+			if literal != string(rest) {
+				return fmt.Errorf("behind the JSON: %q", rest)
+			}
+		default:
+			var got, want any
+			if err := json.Unmarshal(body, &got); err != nil {
+				return fmt.Errorf("%q: %w", body, err)
+			}
+			if err := json.Unmarshal([]byte(value), &want); err != nil {
+				return err
+			}
+			if !matches(got, want) {
+				return fmt.Errorf("got %s", body)
+			}
+		}
+	}
+	return nil
+}
+
+// A body over the bound is refused before it is read; a client that leaves has its RPC called off at the worker.
+func TestLargeAndLeaving(t *testing.T) {
+	dir := start(t)
+	dial := func() net.Conn {
+		nc, err := net.Dial("unix", filepath.Join(dir, "kserve.sock"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return nc
+	}
+	nc := dial()
+	defer nc.Close()
+	fmt.Fprintf(nc, "POST /v2/models/sum/infer HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n")
+	_ = nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	head := make([]byte, 12)
+	if _, err := io.ReadFull(nc, head); err != nil || string(head) != "HTTP/1.1 413" {
+		t.Errorf("%q, %v", head, err)
+	}
+	body := `{"inputs":[{"name":"x","datatype":"FP32","shape":[1],"data":[1]}]}`
+	leaver := dial()
+	fmt.Fprintf(leaver, "POST /v2/models/unsafe/infer HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	time.Sleep(150 * time.Millisecond) // it runs
+	leaver.Close()
+	until := time.Now().Add(2 * time.Second)
+	for {
+		seen, err := record.Read(filepath.Join(dir, "w.log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range seen {
+			if r.Kind == record.Worked {
+				if r.Time > 250 {
+					t.Errorf("it ran on for %v ms", r.Time)
+				}
+				return
+			}
+		}
+		if time.Now().After(until) {
+			t.Fatalf("nothing ran, or goes on: %+v", seen)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func matches(got, want any) bool {
+	switch w := want.(type) {
+	case string:
+		return w == "*" || got == want
+	case map[string]any:
+		g, _ := got.(map[string]any)
+		if len(g) != len(w) {
+			return false
+		}
+		for name := range w {
+			if !matches(g[name], w[name]) {
+				return false
+			}
+		}
+		return true
+	case []any:
+		g, _ := got.([]any)
+		if len(g) != len(w) {
+			return false
+		}
+		for i := range w {
+			if !matches(g[i], w[i]) {
+				return false
+			}
+		}
+		return true
+	}
+	return reflect.DeepEqual(got, want)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -124,6 +124,7 @@
 	Seed    int64      `a:"seed" def:"1" min:"0" max:"9007199254740992"`
 	Stop    StopWithin `e:"stop"`
 	Clients Clients    `e:"clients" need:"yes"`
+	KServe  *KServe    `e:"kserve"`
 	Workers Workers    `e:"workers"`
 	Roster  RosterAt   `e:"roster" need:"yes"`
 	Service Service    `e:"service" need:"yes"`
@@ -328,6 +329,11 @@
 	if err := f.Service.check(); err != nil {
 		return err
 	}
+	if f.KServe != nil {
+		if err := f.KServe.check(&f.Service); err != nil {
+			return err
+		}
+	}
 	if f.Zone != "" && place(f.Service.Zones, f.Zone) < 0 {
 		return f.Errorf("zone %q is none of the service's", f.Zone)
 	}
--- /dev/null
+++ b/internal/standin/models.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strings"
+
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/tensor"
+)
+
+// infer runs a stand-in model on an infer's payload: sum* adds the elements of each input, all others give their
+// inputs back. It reports false for a payload that is no infer.
+func infer(payload []byte) (value []byte, is bool, err error) {
+	raw := jsonrpc.Member(payload, "inputs")
+	if raw == nil {
+		return nil, false, nil
+	}
+	model := member(payload, "model")
+	inputs, err := tensor.ReadAll(raw)
+	if err != nil {
+		return nil, true, err
+	}
+	outputs := inputs
+	if strings.HasPrefix(model, "sum") {
+		outputs = nil
+		for _, in := range inputs {
+			out, err := sum(in)
+			if err != nil {
+				return nil, true, err
+			}
+			outputs = append(outputs, out)
+		}
+	}
+	return append(tensor.AppendAll([]byte(`{"outputs":`), outputs), '}'), true, nil
+}
+
+// sum adds up FP32 or INT32 elements; INT32 wraps.
+func sum(in tensor.Tensor) (tensor.Tensor, error) {
+	out := tensor.Tensor{Name: in.Name, Datatype: in.Datatype, Shape: []int64{1}}
+	var floats float32
+	var ints uint32
+	for rest := in.Raw; len(rest) >= 4; rest = rest[4:] {
+		bits := binary.LittleEndian.Uint32(rest)
+		ints += bits
+		floats += math.Float32frombits(bits)
+	}
+	switch in.Datatype {
+	case "FP32":
+		out.Raw = binary.LittleEndian.AppendUint32(nil, math.Float32bits(floats))
+	case "INT32":
+		out.Raw = binary.LittleEndian.AppendUint32(nil, ints)
+	default:
+		return out, fmt.Errorf("model sum takes FP32 or INT32, not %s", in.Datatype)
+	}
+	return out, nil
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -365,6 +365,14 @@
 	if a.Repeat {
 		b = append(b, `,"repeat":true`...)
 	}
+	if value, is, err := infer(j.Payload); is {
+		if err != nil {
+			h.c.Write(jsonrpc.AppendError(nil, id, failed, err.Error(), append(b, '}')))
+			return
+		}
+		h.c.Write(jsonrpc.AppendResult(nil, id, append(append(append(b, `,"value":`...), value...), '}')))
+		return
+	}
 	b = jsonrpc.AppendText(append(b, `,"value":{"worker":`...), h.w.set.Name)
 	payload := j.Payload
 	if len(payload) == 0 {
