--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -156,7 +156,7 @@
 	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, desk, srv}); return nil })
 	restGroup.Go(func() error { return fo.Run(rest) })
 	restGroup.Go(func() error { return fo.Keep(rest) })
-	failed := make(chan error, 3)
+	failed := make(chan error, 6)
 	frontGroup.Go(func() error {
 		err := srv.Serve(clientSide, listener)
 		if err != nil {
@@ -259,25 +259,27 @@
 			Method: k.MethodOf(&f.Service, m), Function: m.FunctionOf(), Inputs: metas(m.Inputs), Outputs: metas(m.Outputs)})
 	}
 	s := kserve.New(loop, desk, o)
-	var listeners []net.Listener
-	if k.Socket != "" {
-		l, err := clients.Listen(k.Socket, 0o600)
-		if err != nil {
-			return s, err
+	for _, at := range []struct {
+		network, address string
+		serve            func(net.Listener) error
+	}{{"unix", k.Socket, s.Serve}, {"tcp", k.Address, s.Serve}, {"unix", k.GRPCSocket, s.ServeGRPC},
+		{"tcp", k.GRPCAddress, s.ServeGRPC}} {
+		if at.address == "" {
+			continue
+		}
+		var l net.Listener
+		var err error
+		if at.network == "unix" {
+			l, err = clients.Listen(at.address, 0o600)
+		} else {
+			l, err = net.Listen(at.network, at.address)
 		}
-		listeners = append(listeners, l)
-	}
-	if k.Address != "" {
-		l, err := net.Listen("tcp", k.Address)
 		if err != nil {
 			return s, err
 		}
-		listeners = append(listeners, l)
-	}
-	for _, l := range listeners {
 		log.Info().Str("address", l.Addr().String()).Msg("front end takes infers")
 		group.Go(func() error {
-			err := s.Serve(l)
+			err := at.serve(l)
 			if err != nil {
 				failed <- err
 			}
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/jsonrpc"
@@ -54,6 +55,7 @@
 	desk   *front.Desk
 	models map[string][]*Model // versions of each, in their order
 	http   http.Server
+	grpc   *grpc.Server
 
 	mu    sync.Mutex
 	conns map[net.Conn]*peer
@@ -93,6 +95,7 @@
 	})
 	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeOut, ConnContext: s.connected,
 		ConnState: s.state}
+	s.grpc = newGRPC(s)
 	return s
 }
 
@@ -108,10 +111,23 @@
 }
 
 // Drain takes no more connections, and returns once all that came are answered or the context ends.
-func (s *Server) Drain(ctx context.Context) { _ = s.http.Shutdown(ctx) }
+func (s *Server) Drain(ctx context.Context) {
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); s.grpc.GracefulStop() }() // GOAWAY, then what is open is answered
+	_ = s.http.Shutdown(ctx)
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		s.grpc.Stop()
+		<-stopped
+	}
+}
 
 // Close ends all connections.
-func (s *Server) Close() { _ = s.http.Close() }
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.grpc.Stop()
+}
 
 func (s *Server) connected(ctx context.Context, nc net.Conn) context.Context {
 	p := &peer{}
@@ -173,21 +189,27 @@
 	write(w, 200, append(b, `,"version":"2","extensions":["binary_tensor_data"]}`...))
 }
 
-// model finds the model that a path names; without a version the last one stated is meant.
-func (s *Server) model(w http.ResponseWriter, r *http.Request) *Model {
-	name, version := r.PathValue("model"), r.PathValue("version")
+// find finds a model; without a version the last one stated is meant.
+func (s *Server) find(name, version string) (*Model, error) {
 	versions := s.models[name]
 	for i := len(versions) - 1; i >= 0; i-- {
 		if version == "" || versions[i].Version == version {
-			return versions[i]
+			return versions[i], nil
 		}
 	}
 	if len(versions) == 0 {
-		fail(w, http.StatusNotFound, fmt.Sprintf("no model %.80q", name))
-	} else {
-		fail(w, http.StatusNotFound, fmt.Sprintf("model %q has no version %.80q", name, version))
+		return nil, fmt.Errorf("no model %.80q", name)
 	}
-	return nil
+	return nil, fmt.Errorf("model %q has no version %.80q", name, version)
+}
+
+// model finds the model that a path names, or says that there is none.
+func (s *Server) model(w http.ResponseWriter, r *http.Request) *Model {
+	m, err := s.find(r.PathValue("model"), r.PathValue("version"))
+	if err != nil {
+		fail(w, http.StatusNotFound, err.Error())
+	}
+	return m
 }
 
 func (s *Server) modelReady(w http.ResponseWriter, r *http.Request) {
@@ -274,33 +296,65 @@
 	return true
 }
 
-// reply waits for an RPC's one answer.
-type reply chan func(w http.ResponseWriter) (value []byte)
+// outcome is an RPC's one answer.
+type outcome struct {
+	kind     kind
+	value    []byte // of ok
+	message  string // of all others
+	comeBack router.Time
+}
+
+type kind uint8
+
+const (
+	isOK kind = iota
+	isDenied
+	isAborted
+	isRefused
+)
+
+// reply waits for an RPC's one answer. It is the desk's Reply.
+type reply chan outcome
 
 // OK implements front.Reply.
-func (r reply) OK(result []byte) { r <- func(http.ResponseWriter) []byte { return result } }
+func (r reply) OK(result []byte) { r <- outcome{kind: isOK, value: result} }
 
 // Denied implements front.Reply.
 func (r reply) Denied(message string, comeBack router.Time) {
-	r <- func(w http.ResponseWriter) []byte {
-		// whole seconds are all that the header knows: at least one, so that nobody comes back at once
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Max(1, math.Ceil(float64(comeBack)/10000)))))
-		fail(w, http.StatusServiceUnavailable, message)
-		return nil
-	}
+	r <- outcome{kind: isDenied, message: message, comeBack: comeBack}
 }
 
 // Aborted implements front.Reply.
 func (r reply) Aborted(cause string) {
-	r <- func(w http.ResponseWriter) []byte {
-		fail(w, http.StatusInternalServerError, "aborted, it may have run: "+cause)
-		return nil
-	}
+	r <- outcome{kind: isAborted, message: "aborted, it may have run: " + cause}
 }
 
 // Refused implements front.Reply.
-func (r reply) Refused(message string) {
-	r <- func(w http.ResponseWriter) []byte { fail(w, http.StatusBadRequest, message); return nil }
+func (r reply) Refused(message string) { r <- outcome{kind: isRefused, message: message} }
+
+// ask brings an infer to the desk and waits for its answer; false: its client has left.
+func (s *Server) ask(ctx context.Context, at *peer, p front.Params, came time.Time) (outcome, bool) {
+	got := make(reply, 1)
+	var ask *front.Ask
+	if !s.loop.Post(func() {
+		if at.conn == nil {
+			at.conn = s.desk.Open(limits.PeerID(0))
+		}
+		ask = at.conn.Take(p, came, got)
+	}) {
+		got.Denied("denied: this front end has stopped", 0)
+	}
+	select {
+	case o := <-got:
+		return o, true
+	case <-ctx.Done():
+		s.loop.Post(func() {
+			if ask != nil {
+				ask.Leave()
+			}
+		})
+		return outcome{}, false
+	}
 }
 
 func (s *Server) infer(w http.ResponseWriter, r *http.Request) {
@@ -354,37 +408,31 @@
 		return
 	}
 	p.Payload = in.payload(m.Name, m.Version)
-	got, at := make(reply, 1), r.Context().Value(connKey{}).(*peer)
-	var ask *front.Ask
-	if !s.loop.Post(func() {
-		if at.conn == nil {
-			at.conn = s.desk.Open(limits.PeerID(0))
-		}
-		ask = at.conn.Take(p, came, got)
-	}) {
-		got.Denied("denied: this front end has stopped", 0)
+	o, there := s.ask(r.Context(), r.Context().Value(connKey{}).(*peer), p, came)
+	if !there {
+		return
 	}
-	select {
-	case answer := <-got:
-		value := answer(w)
-		if value == nil {
-			return
-		}
-		body, head, err := in.answer(m.Name, m.Version, value)
-		if err != nil { // it ran: a client must not take this for a denial
-			fail(w, http.StatusInternalServerError, err.Error())
-			return
-		}
-		if head > 0 {
-			w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(head))
-			w.Header().Set("Content-Type", "application/octet-stream")
-		}
-		write(w, 200, body)
-	case <-r.Context().Done(): // the client has left
-		s.loop.Post(func() {
-			if ask != nil {
-				ask.Leave()
-			}
-		})
+	switch o.kind {
+	case isDenied:
+		// whole seconds are all that the header knows: at least one, so that nobody comes back at once
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Max(1, math.Ceil(float64(o.comeBack)/10000)))))
+		fail(w, http.StatusServiceUnavailable, o.message)
+		return
+	case isAborted:
+		fail(w, http.StatusInternalServerError, o.message)
+		return
+	case isRefused:
+		fail(w, http.StatusBadRequest, o.message)
+		return
+	}
+	out, head, err := in.answer(m.Name, m.Version, o.value)
+	if err != nil { // it ran: a client must not take this for a denial
+		fail(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	if head > 0 {
+		w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(head))
+		w.Header().Set("Content-Type", "application/octet-stream")
 	}
+	write(w, 200, out)
 }
--- a/internal/kserve/infer.go
+++ b/internal/kserve/infer.go
@@ -1,11 +1,12 @@
 // Package kserve is a front end's side towards clients of the Open Inference Protocol (KServe v2): HTTP/REST with the
-// binary tensor data extension. It turns infers into RPCs at the desk; it decides nothing about an RPC's path.
+// binary tensor data extension, and gRPC. It turns infers into RPCs at the desk; it decides nothing about an RPC's path.
 package kserve
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -124,29 +125,34 @@
 	return append(b, '}')
 }
 
-// answer is the response's body, and the length of its JSON where bytes follow; 0: none do.
-func (in *infer) answer(model, version string, value []byte) (body []byte, head int, err error) {
+// choose gives the outputs of a worker's value that are wanted, and which of them as binary data.
+func (in *infer) choose(model string, value []byte) (chosen []tensor.Tensor, binary []bool, err error) {
 	outputs, err := tensor.ReadAll(jsonrpc.Member(value, "outputs"))
 	if err != nil {
-		return nil, 0, fmt.Errorf("the model's answer can't be read: %w", err)
-	}
-	chosen, how := outputs, make([]bool, len(outputs))
-	for i := range how {
-		how[i] = in.binary
-	}
-	if len(in.outputs) > 0 {
-		chosen, how = nil, nil
-		for _, w := range in.outputs {
-			found := false
-			for _, o := range outputs {
-				if o.Name == w.name {
-					chosen, how, found = append(chosen, o), append(how, w.binary), true
-				}
-			}
-			if !found {
-				return nil, 0, fmt.Errorf("model %q has no output %q", model, w.name)
-			}
+		return nil, nil, fmt.Errorf("the model's answer can't be read: %w", err)
+	}
+	if len(in.outputs) == 0 {
+		binary = make([]bool, len(outputs))
+		for i := range binary {
+			binary[i] = in.binary
+		}
+		return outputs, binary, nil
+	}
+	for _, w := range in.outputs {
+		at := slices.IndexFunc(outputs, func(o tensor.Tensor) bool { return o.Name == w.name })
+		if at < 0 {
+			return nil, nil, fmt.Errorf("model %q has no output %q", model, w.name)
 		}
+		chosen, binary = append(chosen, outputs[at]), append(binary, w.binary)
+	}
+	return chosen, binary, nil
+}
+
+// answer is the response's body, and the length of its JSON where bytes follow; 0: none do.
+func (in *infer) answer(model, version string, value []byte) (body []byte, head int, err error) {
+	chosen, how, err := in.choose(model, value)
+	if err != nil {
+		return nil, 0, err
 	}
 	b := jsonrpc.AppendText([]byte(`{"model_name":`), model)
 	b = jsonrpc.AppendText(append(b, `,"model_version":`...), version)
--- a/internal/settings/kserve.go
+++ b/internal/settings/kserve.go
@@ -15,6 +15,8 @@
 	Pos
 	Socket         string  `a:"socket"`
 	Address        string  `a:"address"` // loopback, HOST:PORT
+	GRPCSocket     string  `a:"grpc-socket"`
+	GRPCAddress    string  `a:"grpc-address"` // loopback, HOST:PORT
 	BodyBytes      int64   `a:"body-bytes" def:"16777216" min:"1024" max:"1073741824"`
 	Method         string  `a:"method"` // of models that name none; left out: the first side-effecting one
 	TimeHeader     string  `a:"time-header" def:"Inference-Timeout-Ms"`
@@ -72,16 +74,19 @@
 func (m *Model) FunctionOf() string { return cmp.Or(m.Function, m.Name+"/"+m.Version) }
 
 func (k *KServe) check(s *Service) error {
-	if k.Socket == "" && k.Address == "" {
-		return k.Errorf("neither socket nor address is named")
+	if k.Socket+k.Address+k.GRPCSocket+k.GRPCAddress == "" {
+		return k.Errorf("no socket and no address is named")
 	}
-	if k.Address != "" {
-		host, _, err := net.SplitHostPort(k.Address)
+	for _, address := range []string{k.Address, k.GRPCAddress} {
+		if address == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(address)
 		if err != nil {
-			return k.Errorf("address %q: %v", k.Address, err)
+			return k.Errorf("address %q: %v", address, err)
 		}
 		if ip, err := netip.ParseAddr(host); host != "localhost" && (err != nil || !ip.IsLoopback()) {
-			return k.Errorf("address %q is not on the loopback: plain text goes no further", k.Address)
+			return k.Errorf("address %q is not on the loopback: plain text goes no further", address)
 		}
 	}
 	seen := map[string]bool{}
