--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"mallowlanding/internal/follow"
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/handover"
+	"mallowlanding/internal/keys"
 	"mallowlanding/internal/kserve"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
@@ -164,7 +165,7 @@
 		}
 		return err
 	})
-	ks, err := serveKServe(f, &frontGroup, loop, desk, fo, failed, log)
+	ks, err := serveKServe(rest, f, &restGroup, &frontGroup, loop, desk, fo, failed, log)
 	if err != nil {
 		failed <- err
 	}
@@ -245,8 +246,8 @@
 }
 
 // serveKServe runs the second front, where the settings have one.
-func serveKServe(f *settings.FrontEnd, group *errgroup.Group, loop *turn.Loop, desk *front.Desk, fo *follow.Follower,
-	failed chan<- error, log zerolog.Logger) (*kserve.Server, error) {
+func serveKServe(ctx context.Context, f *settings.FrontEnd, rest, group *errgroup.Group, loop *turn.Loop,
+	desk *front.Desk, fo *follow.Follower, failed chan<- error, log zerolog.Logger) (*kserve.Server, error) {
 	k := f.KServe
 	if k == nil {
 		return nil, nil
@@ -258,12 +259,30 @@
 		o.Models = append(o.Models, kserve.Model{Name: m.Name, Version: m.Version, Platform: m.Platform,
 			Method: k.MethodOf(&f.Service, m), Function: m.FunctionOf(), Inputs: metas(m.Inputs), Outputs: metas(m.Outputs)})
 	}
+	if k.TLS != nil {
+		store, err := keys.Open(keys.Files{Cert: k.TLS.Cert, Key: k.TLS.Key, ClientCA: k.TLS.ClientCA}, log)
+		if err != nil {
+			return nil, k.TLS.Errorf("%v", err)
+		}
+		rest.Go(func() error {
+			store.Watch(ctx, turn.Duration(k.TLS.Reload), time.Duration(k.TLS.WarnDays*24*float64(time.Hour)))
+			return nil
+		})
+		o.Keys = store
+		for _, c := range k.TLS.Clients {
+			o.Clients = append(o.Clients, keys.Client{Name: c.Name, Customer: c.Customer, Methods: strings.Fields(c.Methods)})
+		}
+	}
 	s := kserve.New(loop, desk, o)
+	http, grpc := s.Serve, s.ServeGRPC
+	if o.Keys != nil {
+		http, grpc = s.ServeTLS, s.ServeGRPCTLS
+	}
 	for _, at := range []struct {
 		network, address string
 		serve            func(net.Listener) error
-	}{{"unix", k.Socket, s.Serve}, {"tcp", k.Address, s.Serve}, {"unix", k.GRPCSocket, s.ServeGRPC},
-		{"tcp", k.GRPCAddress, s.ServeGRPC}} {
+	}{{"unix", k.Socket, s.Serve}, {"tcp", k.Address, http}, {"unix", k.GRPCSocket, s.ServeGRPC},
+		{"tcp", k.GRPCAddress, grpc}} {
 		if at.address == "" {
 			continue
 		}
--- a/internal/kserve/grpc.go
+++ b/internal/kserve/grpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -12,12 +13,15 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
+	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"mallowlanding/internal/front"
+	"mallowlanding/internal/keys"
 	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/tensor"
 	"mallowlanding/internal/turn"
@@ -30,14 +34,17 @@
 }
 
 // newGRPC makes the gRPC server: a message over the bound is refused by its length, before it is read.
-func newGRPC(s *Server) *grpc.Server {
-	g := grpc.NewServer(grpc.MaxRecvMsgSize(int(s.o.BodyBytes)), grpc.StatsHandler(connStats{s}))
+func newGRPC(s *Server, more ...grpc.ServerOption) *grpc.Server {
+	g := grpc.NewServer(append(more, grpc.MaxRecvMsgSize(int(s.o.BodyBytes)), grpc.StatsHandler(connStats{s}))...)
 	oip.RegisterGRPCInferenceServiceServer(g, &grpcFront{s: s})
 	return g
 }
 
 // ServeGRPC takes gRPC connections until Close or Drain.
-func (s *Server) ServeGRPC(l net.Listener) error { return s.grpc.Serve(l) }
+func (s *Server) ServeGRPC(l net.Listener) error { return s.grpc[0].Serve(l) }
+
+// ServeGRPCTLS is ServeGRPC with the keys.
+func (s *Server) ServeGRPCTLS(l net.Listener) error { return s.grpc[1].Serve(l) }
 
 // connStats gives each connection its place at the desk, and has it leave with the connection.
 type connStats struct{ s *Server }
@@ -126,6 +133,19 @@
 			*to = v[0]
 		}
 	}
+	var state *tls.ConnectionState
+	if from, is := grpcpeer.FromContext(ctx); is {
+		if info, is := from.AuthInfo.(credentials.TLSInfo); is {
+			state = &info.State
+		}
+	}
+	client, err := keys.Find(s.o.Clients, state)
+	if err == nil {
+		err = client.Admit(s.desk.MethodAt(m.Method).Name, &p.Customer)
+	}
+	if err != nil {
+		return nil, status.Error(codes.PermissionDenied, err.Error())
+	}
 	in, err := fromProto(r)
 	if err == nil {
 		err = m.check(&in)
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -15,9 +16,11 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/keys"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/tensor"
 	"mallowlanding/internal/turn"
@@ -44,6 +47,8 @@
 	Models                                  []Model
 	BodyBytes                               int64 // a larger body is refused before it is read
 	TimeHeader, CustomerHeader, TokenHeader string
+	Keys                                    *keys.Store // of ServeTLS and ServeGRPCTLS; nil: they are not used
+	Clients                                 []keys.Client
 	Ready                                   func() bool // in a turn: RPCs are taken, and somebody could run them
 	Log                                     zerolog.Logger
 }
@@ -55,7 +60,7 @@
 	desk   *front.Desk
 	models map[string][]*Model // versions of each, in their order
 	http   http.Server
-	grpc   *grpc.Server
+	grpc   []*grpc.Server // plain, and with TLS where there are keys
 
 	mu    sync.Mutex
 	conns map[net.Conn]*peer
@@ -95,7 +100,10 @@
 	})
 	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeOut, ConnContext: s.connected,
 		ConnState: s.state}
-	s.grpc = newGRPC(s)
+	s.grpc = []*grpc.Server{newGRPC(s)}
+	if o.Keys != nil {
+		s.grpc = append(s.grpc, newGRPC(s, grpc.Creds(credentials.NewTLS(o.Keys.Config("h2")))))
+	}
 	return s
 }
 
@@ -110,15 +118,27 @@
 	return nil
 }
 
+// ServeTLS is Serve with the keys.
+func (s *Server) ServeTLS(l net.Listener) error {
+	return s.Serve(tls.NewListener(l, s.o.Keys.Config("http/1.1")))
+}
+
 // Drain takes no more connections, and returns once all that came are answered or the context ends.
 func (s *Server) Drain(ctx context.Context) {
 	stopped := make(chan struct{})
-	go func() { defer close(stopped); s.grpc.GracefulStop() }() // GOAWAY, then what is open is answered
+	go func() {
+		defer close(stopped)
+		for _, g := range s.grpc { // GOAWAY, then what is open is answered
+			g.GracefulStop()
+		}
+	}()
 	_ = s.http.Shutdown(ctx)
 	select {
 	case <-stopped:
 	case <-ctx.Done():
-		s.grpc.Stop()
+		for _, g := range s.grpc {
+			g.Stop()
+		}
 		<-stopped
 	}
 }
@@ -126,7 +146,9 @@
 // Close ends all connections.
 func (s *Server) Close() {
 	_ = s.http.Close()
-	s.grpc.Stop()
+	for _, g := range s.grpc {
+		g.Stop()
+	}
 }
 
 func (s *Server) connected(ctx context.Context, nc net.Conn) context.Context {
@@ -370,6 +392,14 @@
 	}
 	p := front.Params{Method: m.Method, Function: m.Function, Time: -1,
 		Customer: r.Header.Get(s.o.CustomerHeader), Token: r.Header.Get(s.o.TokenHeader)}
+	client, err := keys.Find(s.o.Clients, r.TLS)
+	if err == nil {
+		err = client.Admit(s.desk.MethodAt(m.Method).Name, &p.Customer)
+	}
+	if err != nil {
+		fail(w, http.StatusForbidden, err.Error())
+		return
+	}
 	if text := r.Header.Get(s.o.TimeHeader); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || ms < 0 || math.IsInf(ms, 0) || math.IsNaN(ms) {
--- a/internal/settings/kserve.go
+++ b/internal/settings/kserve.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -22,9 +23,29 @@
 	TimeHeader     string  `a:"time-header" def:"Inference-Timeout-Ms"`
 	CustomerHeader string  `a:"customer-header" def:"Inference-Customer"`
 	TokenHeader    string  `a:"token-header" def:"Idempotency-Key"`
+	TLS            *TLS    `e:"tls"` // of the addresses; the sockets are the machine's own
 	Models         []Model `e:"model" need:"yes"`
 }
 
+// TLS names certificates and keys, and what clients' certificates stand for.
+type TLS struct {
+	Pos
+	Cert     string      `a:"cert" need:"yes"`
+	Key      string      `a:"key" need:"yes"`
+	ClientCA string      `a:"client-ca"`
+	Reload   router.Time `a:"reload-ms" def:"1000" min:"10" max:"3600000"`
+	WarnDays float64     `a:"warn-days" def:"14" min:"0" max:"3650"`
+	Clients  []TLSClient `e:"client"`
+}
+
+// TLSClient is what a certificate's name stands for.
+type TLSClient struct {
+	Pos
+	Name     string `a:"name" need:"yes"`
+	Customer string `a:"customer"`
+	Methods  string `a:"methods"` // by blanks; left out: all
+}
+
 // Model is one version of a model that is served.
 type Model struct {
 	Pos
@@ -89,6 +110,24 @@
 			return k.Errorf("address %q is not on the loopback: plain text goes no further", address)
 		}
 	}
+	if k.TLS != nil {
+		if k.Address+k.GRPCAddress == "" {
+			return k.TLS.Errorf("tls without an address: sockets need none")
+		}
+		if len(k.TLS.Clients) > 0 && k.TLS.ClientCA == "" {
+			return k.TLS.Errorf("clients without client-ca: nobody would prove who they are")
+		}
+		for _, c := range k.TLS.Clients {
+			if c.Customer != "" && !slices.ContainsFunc(s.Customers, func(o Customer) bool { return o.Name == c.Customer }) {
+				return c.Errorf("customer %q is none of the service's", c.Customer)
+			}
+			for name := range strings.FieldsSeq(c.Methods) {
+				if !slices.ContainsFunc(s.Methods, func(m Method) bool { return m.Name == name }) {
+					return c.Errorf("method %q is none of the service's", name)
+				}
+			}
+		}
+	}
 	seen := map[string]bool{}
 	for i := range k.Models {
 		m := &k.Models[i]
