TLS held end to end: HTTP and gRPC clients known by their certificates

Over both fronts a listed client may ask for its method and no other, a stranger of the same authority is told so, and one without a certificate is not let in.

--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -2,16 +2,10 @@
 
 import (
 	"bytes"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
 	"io"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -20,80 +14,32 @@
 	"time"
 
 	"github.com/rs/zerolog"
-)
-
-// pair is a certificate with its key, made for the test.
-type pair struct {
-	cert *x509.Certificate
-	der  []byte
-	key  *ecdsa.PrivateKey
-}
 
-func create(t *testing.T, name string, by *pair, from, to time.Time) *pair {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: from, NotAfter: to, DNSNames: []string{name}, IsCA: by == nil, BasicConstraintsValid: true,
-		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign}
-	p := &pair{cert: template, key: key}
-	if by == nil {
-		by = p
-	}
-	if p.der, err = x509.CreateCertificate(rand.Reader, template, by.cert, &key.PublicKey, by.key); err != nil {
-		t.Fatal(err)
-	}
-	if p.cert, err = x509.ParseCertificate(p.der); err != nil {
-		t.Fatal(err)
-	}
-	return p
-}
-
-func (p *pair) write(t *testing.T, cert, key string, chain ...*pair) {
-	t.Helper()
-	var b bytes.Buffer
-	for _, c := range append([]*pair{p}, chain...) {
-		_ = pem.Encode(&b, &pem.Block{Type: "CERTIFICATE", Bytes: c.der})
-	}
-	if err := os.WriteFile(cert, b.Bytes(), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	if key == "" {
-		return
-	}
-	der, err := x509.MarshalECPrivateKey(p.key)
-	if err == nil {
-		err = os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der}), 0o600)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
+	"mallowlanding/internal/keys/keystest"
+)
 
 func TestLoad(t *testing.T) {
 	dir, now := t.TempDir(), time.Now()
 	at := func(name string) string { return filepath.Join(dir, name) }
 	day := 24 * time.Hour
-	ca := create(t, "ca", nil, now.Add(-day), now.Add(100*day))
-	other := create(t, "other", nil, now.Add(-day), now.Add(100*day))
+	ca := keystest.New(t, "ca", nil, now.Add(-day), now.Add(100*day))
+	other := keystest.New(t, "other", nil, now.Add(-day), now.Add(100*day))
 	f := Files{at("cert"), at("key"), ""}
 	for _, c := range []struct {
 		name string
 		make func()
 		want string
 	}{
-		{"good", func() { create(t, "front", ca, now.Add(-day), now.Add(day)).write(t, f.Cert, f.Key, ca) }, ""},
-		{"expired", func() { create(t, "front", ca, now.Add(-2*day), now.Add(-day)).write(t, f.Cert, f.Key) }, `"front" expired at`},
-		{"not yet", func() { create(t, "front", ca, now.Add(day), now.Add(2*day)).write(t, f.Cert, f.Key) }, `is not valid before`},
-		{"wrong chain", func() { create(t, "front", ca, now.Add(-day), now.Add(day)).write(t, f.Cert, f.Key, other) }, `"other" did not sign`},
+		{"good", func() { keystest.New(t, "front", ca, now.Add(-day), now.Add(day)).Write(t, f.Cert, f.Key, ca) }, ""},
+		{"expired", func() { keystest.New(t, "front", ca, now.Add(-2*day), now.Add(-day)).Write(t, f.Cert, f.Key) }, `"front" expired at`},
+		{"not yet", func() { keystest.New(t, "front", ca, now.Add(day), now.Add(2*day)).Write(t, f.Cert, f.Key) }, `is not valid before`},
+		{"wrong chain", func() { keystest.New(t, "front", ca, now.Add(-day), now.Add(day)).Write(t, f.Cert, f.Key, other) }, `"other" did not sign`},
 		{"wrong key", func() {
-			create(t, "front", ca, now.Add(-day), now.Add(day)).write(t, f.Cert, f.Key)
-			other.write(t, at("x"), f.Key)
+			keystest.New(t, "front", ca, now.Add(-day), now.Add(day)).Write(t, f.Cert, f.Key)
+			other.Write(t, at("x"), f.Key)
 		}, "private key does not match"},
 		{"no key", func() { os.Remove(f.Key) }, "no such file"},
-		{"no PEM", func() { other.write(t, at("x"), f.Key); _ = os.WriteFile(f.Cert, []byte("hello"), 0o600) }, "failed to find"},
+		{"no PEM", func() { other.Write(t, at("x"), f.Key); _ = os.WriteFile(f.Cert, []byte("hello"), 0o600) }, "failed to find"},
 	} {
 		c.make()
 		_, err := Load(f, now)
@@ -109,10 +55,10 @@
 	dir, now := t.TempDir(), time.Now()
 	at := func(name string) string { return filepath.Join(dir, name) }
 	day := 24 * time.Hour
-	ca := create(t, "ca", nil, now.Add(-day), now.Add(100*day))
-	ca.write(t, at("ca"), "")
+	ca := keystest.New(t, "ca", nil, now.Add(-day), now.Add(100*day))
+	ca.Write(t, at("ca"), "")
 	f := Files{at("cert"), at("key"), at("ca")}
-	create(t, "first", ca, now.Add(-day), now.Add(10*day)).write(t, f.Cert, f.Key)
+	keystest.New(t, "first", ca, now.Add(-day), now.Add(10*day)).Write(t, f.Cert, f.Key)
 	var log bytes.Buffer
 	s, err := Open(f, zerolog.New(&log))
 	if err != nil {
@@ -133,13 +79,13 @@
 			go func() { defer c.Close(); _, _ = io.Copy(c, c) }()
 		}
 	}()
-	client := create(t, "booking-app", ca, now.Add(-day), now.Add(day))
+	client := keystest.New(t, "booking-app", ca, now.Add(-day), now.Add(day))
 	roots := x509.NewCertPool()
-	roots.AddCert(ca.cert)
-	dial := func(name string, with *pair) (*tls.Conn, error) {
+	roots.AddCert(ca.Cert)
+	dial := func(name string, with *keystest.Pair) (*tls.Conn, error) {
 		c := &tls.Config{RootCAs: roots, ServerName: name}
 		if with != nil {
-			c.Certificates = []tls.Certificate{{Certificate: [][]byte{with.der}, PrivateKey: with.key}}
+			c.Certificates = []tls.Certificate{{Certificate: [][]byte{with.DER}, PrivateKey: with.Key}}
 		}
 		nc, err := tls.Dial("tcp", l.Addr().String(), c)
 		if err == nil {
@@ -156,11 +102,11 @@
 		nc.Close()
 		t.Error("a client without a certificate came in")
 	}
-	if nc, err := dial("first", create(t, "booking-app", nil, now.Add(-day), now.Add(day))); err == nil {
+	if nc, err := dial("first", keystest.New(t, "booking-app", nil, now.Add(-day), now.Add(day))); err == nil {
 		nc.Close()
 		t.Error("a client of another authority came in")
 	}
-	create(t, "second", ca, now.Add(-day), now.Add(20*day)).write(t, f.Cert, f.Key)
+	keystest.New(t, "second", ca, now.Add(-day), now.Add(20*day)).Write(t, f.Cert, f.Key)
 	if !s.Look(now.Add(time.Second), day) {
 		t.Fatal("new keys are not taken")
 	}
@@ -190,7 +136,7 @@
 	if n := strings.Count(log.String(), "expires soon"); n != 2 {
 		t.Errorf("told %d times in two days: %s", n, log.String())
 	}
-	state := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{client.cert}}
+	state := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{client.Cert}}
 	if c, err := Find([]Client{{Name: "x"}, {Name: "booking-app", Customer: "east"}}, state); err != nil || c.Customer != "east" {
 		t.Errorf("%v, %v", c, err)
 	}
--- a/internal/kserve/http_test.go
+++ b/internal/kserve/http_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
@@ -19,8 +21,14 @@
 	"github.com/go-json-experiment/json"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	grpcstatus "google.golang.org/grpc/status"
 
 	"mallowlanding/internal/gateway"
+	"mallowlanding/internal/keys/keystest"
+	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -53,8 +61,32 @@
 	if err != nil || len(files) != 3 {
 		t.Fatalf("%v, %v", files, err)
 	}
+	day := 24 * time.Hour
+	ca := keystest.New(t, "ca", nil, time.Now().Add(-day), time.Now().Add(day))
+	ca.Write(t, filepath.Join(dir, "ca.pem"), "")
+	keystest.New(t, "localhost", ca, time.Now().Add(-day), time.Now().Add(day)).
+		Write(t, filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"))
+	for _, name := range []string{"app", "stranger"} {
+		keystest.New(t, name, ca, time.Now().Add(-day), time.Now().Add(day)).
+			Write(t, filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+	}
+	ports := map[string]string{}
+	for _, name := range []string{"https", "grpcs"} { // free a moment ago
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ports[name] = l.Addr().String()
+		l.Close()
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(ports[name]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
 	for _, file := range files {
 		text, err := os.ReadFile(file)
+		for name, address := range ports {
+			text = bytes.ReplaceAll(text, []byte(strings.ToUpper(name)), []byte(address))
+		}
 		if err == nil {
 			err = os.WriteFile(filepath.Join(dir, filepath.Base(file)), bytes.ReplaceAll(text, []byte("DIR"), []byte(dir)), 0o600)
 		}
@@ -180,6 +212,69 @@
 	return nil
 }
 
+// Over TLS a client is known by its certificate: what it may ask for, and whether it is let in at all.
+func TestTLS(t *testing.T) {
+	dir := start(t)
+	text, err := os.ReadFile(filepath.Join(dir, "ca.pem"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(text)
+	config := func(name string) *tls.Config {
+		c := &tls.Config{RootCAs: roots, ServerName: "localhost"}
+		if name != "" {
+			pair, err := tls.LoadX509KeyPair(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Certificates = []tls.Certificate{pair}
+		}
+		return c
+	}
+	address := func(name string) string {
+		text, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	for _, c := range []struct {
+		client, model string
+		status        int // 0: no answer
+		code          codes.Code
+	}{{"app", "sum", 200, codes.OK}, {"app", "unsafe", 403, codes.PermissionDenied},
+		{"stranger", "sum", 403, codes.PermissionDenied}, {"", "sum", 0, codes.Unavailable}} {
+		transport := &http.Transport{TLSClientConfig: config(c.client)}
+		r, err := http.NewRequest("POST", "https://"+address("https")+"/v2/models/"+c.model+"/infer",
+			strings.NewReader(`{"inputs":[{"name":"x","datatype":"FP32","shape":[1],"data":[1]}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		status := 0
+		if answer, err := transport.RoundTrip(r); err == nil {
+			status = answer.StatusCode
+			answer.Body.Close()
+		}
+		transport.CloseIdleConnections()
+		if status != c.status {
+			t.Errorf("%+v: HTTP %d", c, status)
+		}
+		g, err := grpc.NewClient(address("grpcs"), grpc.WithTransportCredentials(credentials.NewTLS(config(c.client))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, err = oip.NewGRPCInferenceServiceClient(g).ModelInfer(ctx, &oip.ModelInferRequest{ModelName: c.model,
+			Inputs: input("x", "FP32", &oip.InferTensorContents{Fp32Contents: []float32{1}}, 1)})
+		cancel()
+		g.Close()
+		if grpcstatus.Code(err) != c.code {
+			t.Errorf("%+v: gRPC %v", c, err)
+		}
+	}
+}
+
 // A body over the bound is refused before it is read; a client that leaves has its RPC called off at the worker.
 func TestLargeAndLeaving(t *testing.T) {
 	dir := start(t)
