--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -51,7 +51,7 @@
 	defer end()
 	var procs, conns errgroup.Group
 	defer func() { end(); _ = procs.Wait(); _ = conns.Wait() }()
-	if err := start(ctx, &procs, exe, dir, o, fmt.Sprintf(`held="%d"`, held)); err != nil {
+	if err := start(ctx, &procs, exe, dir, o, fmt.Sprintf(`held="%d"`, held), ""); err != nil {
 		return r, 0, err
 	}
 	dial := func() (*jsonrpc.Caller, error) {
--- /dev/null
+++ b/internal/measure/fronts.go
@@ -0,0 +1,169 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/kserve/oip"
+)
+
+// frontWorkers is how many RPCs are kept at work through each front.
+const frontWorkers = 32
+
+// Fronts measures the same warm function through JSON-RPC, HTTP and gRPC, one front after the other in one run, with
+// tensors of the given sizes in bytes that the stand-in model gives back.
+func Fronts(ctx context.Context, exe string, o Options, sizes []int, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "mallow")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	var procs, conns errgroup.Group
+	defer func() { end(); _ = procs.Wait(); _ = conns.Wait() }()
+	kserve := fmt.Sprintf(`<kserve socket="%[1]s/http.sock" grpc-socket="%[1]s/grpc.sock" body-bytes="16777216">
+<model name="identity" method="query" function="f0"/></kserve>`, dir)
+	if err := start(ctx, &procs, exe, dir, o, `value-bytes="16777216"`, kserve); err != nil {
+		return err
+	}
+	w := table.NewWriter()
+	w.SetOutputMirror(out)
+	w.SetStyle(table.StyleLight)
+	w.SetTitle("one warm function through three fronts, %d at a time; one front end on %d cores, %d stand-in workers",
+		frontWorkers, o.Cores, o.Workers)
+	w.AppendHeader(table.Row{"tensor", "front", "RPCs/s", "not ok", "p50 us", "p99 us"})
+	for _, size := range sizes {
+		raw := bytes.Repeat([]byte{7}, size)
+		for _, f := range []struct {
+			name string
+			make func() (func() error, func(), error)
+		}{
+			{"JSON-RPC, base64", func() (func() error, func(), error) { return jsonFront(ctx, &conns, dir, raw) }},
+			{"HTTP, binary data", func() (func() error, func(), error) { return httpFront(ctx, dir, raw) }},
+			{"gRPC, raw contents", func() (func() error, func(), error) { return grpcFront(ctx, dir, raw) }},
+		} {
+			call, done, err := f.make()
+			if err != nil {
+				return err
+			}
+			r := hammer(ctx, o.Span, call)
+			done()
+			w.AppendRow(table.Row{size, f.name, fmt.Sprintf("%.0f", r.rate), r.failed, r.h.ValueAtQuantile(50), r.h.ValueAtQuantile(99)})
+		}
+	}
+	w.Render()
+	return ctx.Err()
+}
+
+// hammer keeps RPCs at work, after a quarter of the time to warm up.
+func hammer(ctx context.Context, span time.Duration, call func() error) result {
+	var mu sync.Mutex
+	r := result{h: histogram()}
+	var group errgroup.Group
+	begin := time.Now()
+	for range frontWorkers {
+		group.Go(func() error {
+			h, failed := histogram(), int64(0)
+			for ctx.Err() == nil {
+				sent := time.Now()
+				if sent.Sub(begin) > span*5/4 {
+					break
+				}
+				err := call()
+				if sent.Sub(begin) < span/4 {
+					continue
+				}
+				if err != nil {
+					failed++
+				}
+				_ = h.RecordValue(time.Since(sent).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.h.Merge(h)
+			r.failed += failed
+			return nil
+		})
+	}
+	_ = group.Wait()
+	r.rate = float64(r.h.TotalCount()) / span.Seconds()
+	return r
+}
+
+func jsonFront(ctx context.Context, conns *errgroup.Group, dir string, raw []byte) (func() error, func(), error) {
+	nc, err := net.Dial("unix", filepath.Join(dir, "front.sock"))
+	if err != nil {
+		return nil, nil, err
+	}
+	c := jsonrpc.NewCaller(nc, valueLimit)
+	conns.Go(func() error { _ = c.Run(ctx); return nil })
+	b := strconv.AppendInt([]byte(`{"function":"f0","payload":{"model":"identity","inputs":[{"name":"x","datatype":"UINT8","shape":[`), int64(len(raw)), 10)
+	b = base64.StdEncoding.AppendEncode(append(b, `],"raw":"`...), raw)
+	params := append(b, `"}]}}`...)
+	return func() error {
+		a := c.Call(ctx, "query", params)
+		if a.Err == nil && a.Code != 0 {
+			return errors.New(a.Message)
+		}
+		return a.Err
+	}, c.Close, nil
+}
+
+func httpFront(ctx context.Context, dir string, raw []byte) (func() error, func(), error) {
+	transport := &http.Transport{MaxIdleConnsPerHost: frontWorkers, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", filepath.Join(dir, "http.sock"))
+	}}
+	head := fmt.Sprintf(`{"inputs":[{"name":"x","datatype":"UINT8","shape":[%[1]d],"parameters":{"binary_data_size":%[1]d}}],"parameters":{"binary_data_output":true}}`, len(raw))
+	body := append([]byte(head), raw...)
+	return func() error {
+		r, err := http.NewRequestWithContext(ctx, "POST", "http://front/v2/models/identity/infer", bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		r.Header.Set("Inference-Header-Content-Length", strconv.Itoa(len(head)))
+		answer, err := transport.RoundTrip(r)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		if n, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != 200 || n < int64(len(raw)) {
+			return fmt.Errorf("%s, %d bytes, %v", answer.Status, n, err)
+		}
+		return nil
+	}, transport.CloseIdleConnections, nil
+}
+
+func grpcFront(ctx context.Context, dir string, raw []byte) (func() error, func(), error) {
+	cc, err := grpc.NewClient("unix:"+filepath.Join(dir, "grpc.sock"), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(valueLimit)))
+	if err != nil {
+		return nil, nil, err
+	}
+	c := oip.NewGRPCInferenceServiceClient(cc)
+	return func() error {
+		r, err := c.ModelInfer(ctx, &oip.ModelInferRequest{ModelName: "identity", RawInputContents: [][]byte{raw},
+			Inputs: []*oip.ModelInferRequest_InferInputTensor{{Name: "x", Datatype: "UINT8", Shape: []int64{int64(len(raw))}}}})
+		if err == nil && len(r.RawOutputContents[0]) != len(raw) {
+			err = errors.New("cut short")
+		}
+		return err
+	}, func() { cc.Close() }, nil
+}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -60,7 +60,7 @@
 	defer end()
 	var procs errgroup.Group
 	defer func() { end(); _ = procs.Wait() }()
-	if err := start(ctx, &procs, exe, dir, o, ""); err != nil {
+	if err := start(ctx, &procs, exe, dir, o, "", ""); err != nil {
 		return err
 	}
 	payload := make([]byte, 0, o.Payload+2)
@@ -233,13 +233,13 @@
 }
 
 // start runs roster, workers and a front end as processes of their own.
-func start(ctx context.Context, procs *errgroup.Group, exe, dir string, o Options, limits string) error {
+func start(ctx context.Context, procs *errgroup.Group, exe, dir string, o Options, limits, kserve string) error {
 	docs := map[string]string{
 		"roster": fmt.Sprintf(`<roster socket="%s/roster.sock" lag-ms="0"/>`, dir),
-		"front": fmt.Sprintf(`<front-end name="front"><clients socket="%[1]s/front.sock" open="100000" %[2]s/>
+		"front": fmt.Sprintf(`<front-end name="front"><clients socket="%[1]s/front.sock" open="100000" %[2]s/>%[3]s<workers value-bytes="67108864"/>
 <roster socket="%[1]s/roster.sock"/><service>
 <method name="query" effect="idempotent" memory-mb="16" lanes="64" load-ms="300"/><kind name="std" memory-mb="4096"/>
-<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits),
+<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits, kserve),
 	}
 	command := map[string]string{"roster": "roster", "front": "serve"}
 	order := []string{"roster"}
