Tensors travel to workers as bytes, in a codec agreed on at connect

Base64 within JSON was scanned at each hand on the way. A worker that offers cbor in client.ready gets frames with the tensors' bytes beside the params, and answers alike; others get them as params.blob in base64. Both fronts of KServe use it; outputs stay parts of what came.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -460,7 +460,7 @@
 }
 
 // OK implements front.Reply.
-func (p *pending) OK(result []byte) {
+func (p *pending) OK(result, _ []byte) {
 	p.over()
 	p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, result) })
 }
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -10,7 +10,7 @@
 
 type idle struct{}
 
-func (idle) OK([]byte)          {}
+func (idle) OK([]byte, []byte)  {}
 func (idle) Denied(router.Time) {}
 func (idle) Aborted(string)     {}
 func (idle) Moved(bool)         {}
@@ -47,12 +47,12 @@
 	for range b.N {
 		now++
 		e.Begin(now)
-		e.Take(0, m, 0, "f", Function{Memory: 100, Lanes: 4, Load: 100}, "", 30000, false, nil, idle{})
+		e.Take(0, m, 0, "f", Function{Memory: 100, Lanes: 4, Load: 100}, "", 30000, false, nil, nil, idle{})
 		e.End()
 		now++
 		e.Begin(now)
 		for _, id := range l.sent {
-			e.Answered(id, w, router.OK, router.StoodWarm, 0, nil, nil)
+			e.Answered(id, w, router.OK, router.StoodWarm, 0, nil, nil, nil)
 		}
 		l.sent = l.sent[:0]
 		e.End()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,7 +20,7 @@
 // Client is where an RPC's final answer goes: exactly one of OK, Denied and Aborted is called, once, unless the client
 // left.
 type Client interface {
-	OK(result []byte)
+	OK(result, blob []byte)      // blob: bytes beside the result, where the RPC came with some
 	Denied(comeBack router.Time) // 0: no advice when to come back
 	Aborted(cause string)
 	Moved(held bool) // the RPC went out to a worker, or is held by the module again
@@ -78,7 +78,8 @@
 	Fn       Function
 	Token    string
 	Customer string
-	Payload  []byte
+	Payload  []byte // JSON
+	Blob     []byte // bytes beside it
 }
 
 type named struct {
@@ -211,13 +212,13 @@
 // settings, customer the customer's, 0 where there are none. The function's name must not meet another's id: see
 // Meets.
 func (e *Engine) Take(m router.MethodID, method *Method, customer router.CustomerID, function string, fn Function,
-	token string, left router.Time, repeat bool, payload []byte, client Client) *RPC {
+	token string, left router.Time, repeat bool, payload, blob []byte, client Client) *RPC {
 	for e.lastRPC++; e.rpcs[router.RPCID(e.lastRPC)] != nil; e.lastRPC++ {
 	}
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
 	e.names[fid] = named{function, fn}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
-		Fn: fn, Token: token, Payload: payload, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
+		Fn: fn, Token: token, Payload: payload, Blob: blob, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
 	e.rpcs[id] = p
 	e.wanted.Take(fid)
 	e.counts.Taken++
@@ -301,7 +302,7 @@
 func (p *RPC) timeUp(now router.Time) {
 	for n := range p.calls {
 		if c := &p.calls[n]; !c.done {
-			p.ended(n, router.TimedOut, router.Untold, 0, nil, nil)
+			p.ended(n, router.TimedOut, router.Untold, 0, nil, nil, nil)
 		}
 	}
 }
@@ -309,16 +310,16 @@
 // Answered tells how a call-out ended, as the worker answered or the link saw. Result is the worker's, for OK; the
 // cause in words, else. A call-out that is unknown, over, or of another worker is passed over: it reports false.
 func (e *Engine) Answered(id CallOutID, w router.WorkerID, o router.Outcome, warmth router.Warmth, crowd int,
-	report []float64, result []byte) bool {
+	report []float64, result, blob []byte) bool {
 	p, n := e.rpcs[router.RPCID(id>>8)], int(id&0xff)
 	if p == nil || n >= len(p.calls) || p.calls[n].done || p.calls[n].worker.id != w {
 		return false
 	}
-	p.ended(n, o, warmth, crowd, report, result)
+	p.ended(n, o, warmth, crowd, report, result, blob)
 	return true
 }
 
-func (p *RPC) ended(n int, o router.Outcome, warmth router.Warmth, crowd int, report []float64, result []byte) {
+func (p *RPC) ended(n int, o router.Outcome, warmth router.Warmth, crowd int, report []float64, result, blob []byte) {
 	e, c := p.e, &p.calls[n]
 	c.done = true
 	p.out--
@@ -326,7 +327,7 @@
 	if o == router.OK && !p.closed {
 		p.close()
 		e.counts.OK++
-		p.client.OK(result)
+		p.client.OK(result, blob)
 	} else if o != router.OK && len(result) > 0 {
 		p.cause = string(result)
 	}
@@ -352,7 +353,7 @@
 		e.timers.Stop(&p.deadline)
 		e.timers.Stop(&p.callOff)
 		delete(e.rpcs, p.id)
-		p.Payload = nil
+		p.Payload, p.Blob = nil, nil
 	}
 }
 
@@ -427,17 +428,17 @@
 	id := CallOutID(uint64(rpc)<<8 | uint64(n))
 	switch {
 	case moot:
-		e.later = append(e.later, func() { e.Answered(id, w, router.Moot, router.Untold, 0, nil, nil) })
+		e.later = append(e.later, func() { e.Answered(id, w, router.Moot, router.Untold, 0, nil, nil, nil) })
 	case wk.link == nil:
 		e.later = append(e.later, func() {
-			e.Answered(id, w, router.ConnectFailed, router.Untold, 0, nil, []byte("no link to "+wk.name))
+			e.Answered(id, w, router.ConnectFailed, router.Untold, 0, nil, []byte("no link to "+wk.name), nil)
 		})
 	default:
 		e.counts.CallOuts++
 		wk.link.Send(id, p, p.end-e.now)
 		if limit > 0 && e.now+limit < p.end {
 			e.timers.Set(new(turn.Timer), e.now+limit, func(router.Time) {
-				e.Answered(id, w, router.TimedOut, router.Untold, 0, nil, nil)
+				e.Answered(id, w, router.TimedOut, router.Untold, 0, nil, nil, nil)
 			})
 		}
 	}
@@ -476,7 +477,7 @@
 		c.worker.link.CallOff(id)
 	}
 	w := c.worker.id
-	e.later = append(e.later, func() { e.Answered(id, w, router.CalledOff, router.Untold, 0, nil, nil) })
+	e.later = append(e.later, func() { e.Answered(id, w, router.CalledOff, router.Untold, 0, nil, nil, nil) })
 }
 
 // Remind implements router.Port.
--- a/internal/front/explore_test.go
+++ b/internal/front/explore_test.go
@@ -87,7 +87,7 @@
 // reply keeps what one client is told.
 type reply struct{ told []string }
 
-func (r *reply) OK([]byte)                  { r.told = append(r.told, "ok") }
+func (r *reply) OK([]byte, []byte)          { r.told = append(r.told, "ok") }
 func (r *reply) Denied(string, router.Time) { r.told = append(r.told, "denied") }
 func (r *reply) Aborted(string)             { r.told = append(r.told, "aborted") }
 func (r *reply) Refused(string)             { r.told = append(r.told, "refused") }
@@ -126,7 +126,7 @@
 		if o != router.Full && o != router.ConnectFailed && o != router.Missed {
 			w.ran[id>>8] = true
 		}
-		w.e.Answered(id, ident.Worker("w"), o, router.Untold, 0, nil, []byte("1"))
+		w.e.Answered(id, ident.Worker("w"), o, router.Untold, 0, nil, []byte("1"), nil)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,7 +20,7 @@
 
 // Reply is where an RPC's answer goes; exactly one of its methods is called, once, unless its connection leaves.
 type Reply interface {
-	OK(result []byte)
+	OK(result, blob []byte)                      // blob: bytes beside the result, where the RPC came with some
 	Denied(message string, comeBack router.Time) // 0: no advice when to come back
 	Aborted(cause string)
 	Refused(message string) // what it asks for is wrong; it never ran
@@ -43,7 +43,8 @@
 	Customer string
 	Token    string
 	Time     float64 // how long its client waits, in ms; below 0: not told
-	Payload  []byte
+	Payload  []byte  // JSON
+	Blob     []byte  // bytes beside it
 	Repeat   bool
 }
 
@@ -211,7 +212,7 @@
 		left = min(left, router.Time(math.Min(p.Time*10, math.MaxInt32)))
 	}
 	a.until = d.now + left - turn.Span(time.Since(came))
-	t, refused, displaced := c.gate.Arrive(d.now, p.Function, int64(len(p.Payload)), method.Gain, a)
+	t, refused, displaced := c.gate.Arrive(d.now, p.Function, int64(len(p.Payload)+len(p.Blob)), method.Gain, a)
 	if refused != nil {
 		reply.Denied(refused.Reason, refused.ComeBack)
 		return a
@@ -239,7 +240,7 @@
 	w := &work{d: d, lead: a}
 	if method.Effect == router.Tokened {
 		key := repeats.Key{Method: method.Name, Customer: a.p.Customer, Token: a.p.Token}
-		group, decision := d.repeats.Come(key, a.p.Function, a.p.Payload, a)
+		group, decision := d.repeats.Come(key, a.p.Function, a, a.p.Payload, a.p.Blob)
 		switch decision {
 		case repeats.Differs:
 			a.forget()
@@ -266,7 +267,8 @@
 	}
 	a.work = w
 	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.customers[a.p.Customer]),
-		a.p.Function, d.o.Function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, client)
+		a.p.Function, d.o.Function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob,
+		client)
 }
 
 // Cancel tells that the client wants no result any more, but its one answer.
@@ -350,10 +352,10 @@
 }
 
 // OK implements engine.Client.
-func (w *work) OK(result []byte) {
+func (w *work) OK(result, blob []byte) {
 	for _, a := range w.end() {
 		a.forget()
-		a.reply.OK(result)
+		a.reply.OK(result, blob)
 	}
 }
 
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -13,6 +14,7 @@
 type Conn struct {
 	nc    net.Conn
 	limit int
+	Codec func() func(in io.Reader) error // gives the reader of one message in another codec, once that is agreed on; nil: none is
 
 	mu    sync.Mutex
 	more  *sync.Cond
@@ -58,6 +60,14 @@
 	var dec Decoder
 	var err error
 	for {
+		if c.Codec != nil {
+			if next := c.Codec(); next != nil { // the other side has changed the codec
+				if err = next(r.Rest()); err != nil {
+					break
+				}
+				continue
+			}
+		}
 		var value []byte
 		if value, err = r.Next(); err != nil {
 			break
--- a/internal/jsonrpc/framing.go
+++ b/internal/jsonrpc/framing.go
@@ -38,6 +38,9 @@
 // Headers tells whether the stream's values follow headers; known once a value was read.
 func (r *Reader) Headers() bool { return r.headers }
 
+// Rest is the stream behind what was taken off it, for a codec that follows.
+func (r *Reader) Rest() io.Reader { return r.b }
+
 // Buffered tells whether more has been read from the stream than was taken off it.
 func (r *Reader) Buffered() bool { return r.b.Buffered() > 0 }
 
--- a/internal/kserve/grpc.go
+++ b/internal/kserve/grpc.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	p.Payload = in.payload(m.Name, m.Version)
+	p.Payload, p.Blob = in.payload(m.Name, m.Version)
 	o, there := s.ask(ctx, ctx.Value(connKey{}).(*peer), p, came)
 	if !there {
 		return nil, status.FromContextError(ctx.Err()).Err()
@@ -174,7 +174,7 @@
 	case isRefused:
 		return nil, status.Error(codes.InvalidArgument, o.message)
 	}
-	chosen, _, err := in.choose(m.Name, o.value)
+	chosen, _, err := in.choose(m.Name, o.value, o.blob)
 	if err != nil { // it ran: a client must not take this for a denial
 		return nil, status.Error(codes.Unknown, err.Error())
 	}
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -322,6 +322,7 @@
 type outcome struct {
 	kind     kind
 	value    []byte // of ok
+	blob     []byte // likewise
 	message  string // of all others
 	comeBack router.Time
 }
@@ -339,7 +340,7 @@
 type reply chan outcome
 
 // OK implements front.Reply.
-func (r reply) OK(result []byte) { r <- outcome{kind: isOK, value: result} }
+func (r reply) OK(result, blob []byte) { r <- outcome{kind: isOK, value: result, blob: blob} }
 
 // Denied implements front.Reply.
 func (r reply) Denied(message string, comeBack router.Time) {
@@ -437,7 +438,7 @@
 		fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	p.Payload = in.payload(m.Name, m.Version)
+	p.Payload, p.Blob = in.payload(m.Name, m.Version)
 	o, there := s.ask(r.Context(), r.Context().Value(connKey{}).(*peer), p, came)
 	if !there {
 		return
@@ -455,7 +456,7 @@
 		fail(w, http.StatusBadRequest, o.message)
 		return
 	}
-	out, head, err := in.answer(m.Name, m.Version, o.value)
+	out, head, err := in.answer(m.Name, m.Version, o.value, o.blob)
 	if err != nil { // it ran: a client must not take this for a denial
 		fail(w, http.StatusInternalServerError, err.Error())
 		return
--- a/internal/kserve/infer.go
+++ b/internal/kserve/infer.go
@@ -115,19 +115,19 @@
 }
 
 // payload is the RPC's: what the worker gets.
-func (in *infer) payload(model, version string) []byte {
+func (in *infer) payload(model, version string) (payload, blob []byte) {
 	b := jsonrpc.AppendText([]byte(`{"model":`), model)
 	b = jsonrpc.AppendText(append(b, `,"version":`...), version)
 	if in.parameters != nil {
 		b = append(append(b, `,"parameters":`...), in.parameters...)
 	}
-	b = tensor.AppendAll(append(b, `,"inputs":`...), in.inputs)
-	return append(b, '}')
+	b, blob = tensor.AppendBeside(append(b, `,"inputs":`...), in.inputs)
+	return append(b, '}'), blob
 }
 
 // choose gives the outputs of a worker's value that are wanted, and which of them as binary data.
-func (in *infer) choose(model string, value []byte) (chosen []tensor.Tensor, binary []bool, err error) {
-	outputs, err := tensor.ReadAll(jsonrpc.Member(value, "outputs"))
+func (in *infer) choose(model string, value, blob []byte) (chosen []tensor.Tensor, binary []bool, err error) {
+	outputs, err := tensor.ReadAll(jsonrpc.Member(value, "outputs"), blob)
 	if err != nil {
 		return nil, nil, fmt.Errorf("the model's answer can't be read: %w", err)
 	}
@@ -149,8 +149,8 @@
 }
 
 // answer is the response's body, and the length of its JSON where bytes follow; 0: none do.
-func (in *infer) answer(model, version string, value []byte) (body []byte, head int, err error) {
-	chosen, how, err := in.choose(model, value)
+func (in *infer) answer(model, version string, value, blob []byte) (body []byte, head int, err error) {
+	chosen, how, err := in.choose(model, value, blob)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"fmt"
 	"net"
 	"slices"
@@ -19,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mallowlanding/internal/engine"
+	"mallowlanding/internal/frames"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/sock"
 	"mallowlanding/internal/turn"
@@ -112,6 +114,7 @@
 	code    int
 	message string
 	value   []byte
+	blob    []byte
 	warmth  router.Warmth
 	crowd   int
 	report  []float64
@@ -135,9 +138,10 @@
 
 // stream is what goes out on one connection; nothing handed to it ever goes out on another.
 type stream struct {
-	now   sock.Writer
-	total uint64 // the loop's: bytes handed to the writer
-	dirty bool   // the loop's: written to in this turn
+	now    sock.Writer
+	binary bool   // the loop's: the codec agreed on
+	total  uint64 // the loop's: bytes handed to the writer
+	dirty  bool   // the loop's: written to in this turn
 
 	mu      sync.Mutex
 	out     []byte
@@ -170,9 +174,9 @@
 		b = append(append(b, `,"payload":`...), p.Payload...)
 	}
 	b = append(b, '}')
-	l.ask(string(jsonrpc.NumberID(uint64(id))), "host.request", b, flight{
+	l.askWith(string(jsonrpc.NumberID(uint64(id))), "host.request", b, p.Blob, flight{
 		ended: func(o router.Outcome, cause string) {
-			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause))
+			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause), nil)
 		},
 		answer: func(a answer) { l.answered(id, a) },
 	})
@@ -233,13 +237,16 @@
 }
 
 // ask sends a request whose answer is awaited, or holds it until the link is up or the connect time-out is over.
-func (l *Link) ask(id, method string, params []byte, f flight) {
+func (l *Link) ask(id, method string, params []byte, f flight) { l.askWith(id, method, params, nil, f) }
+
+// askWith is ask with bytes beside the params.
+func (l *Link) askWith(id, method string, params, blob []byte, f flight) {
 	if l.ctx.Err() != nil {
 		l.s.loop.Post(func() { f.ended(router.ConnectFailed, "the link to "+l.name+" is closed") })
 		return
 	}
 	if l.up == nil {
-		h := &heldAsk{ask: func() { l.ask(id, method, params, f) },
+		h := &heldAsk{ask: func() { l.askWith(id, method, params, blob, f) },
 			expire: func() { f.ended(router.ConnectFailed, "no connection to "+l.name) }}
 		l.held = append(l.held, h)
 		time.AfterFunc(l.s.o.ConnectTimeOut, func() {
@@ -259,15 +266,29 @@
 	}
 	f.at = l.up.total
 	l.sent[id] = f
-	l.write(jsonrpc.AppendRequest(nil, jsonrpc.ID(id), method, params))
+	l.write(id, method, params, blob)
 }
 
 func (l *Link) tell(method string, params []byte) {
-	l.write(jsonrpc.AppendRequest(nil, nil, method, params))
+	l.write("", method, params, nil)
 }
 
-func (l *Link) write(value []byte) {
-	if l.up.write(value); !l.up.dirty {
+// write sends a request or a notification, in the codec agreed on. JSON carries bytes as params.blob, in base64.
+func (l *Link) write(id, method string, params, blob []byte) {
+	if !l.up.binary && len(blob) > 0 {
+		params = append(params[:len(params)-1:len(params)-1], `,"blob":"`...)
+		params = append(base64.StdEncoding.AppendEncode(params, blob), `"}`...)
+	}
+	l.up.mu.Lock()
+	before := len(l.up.out)
+	if l.up.binary {
+		l.up.out = frames.AppendRequest(l.up.out, []byte(id), method, params, blob)
+	} else {
+		l.up.out = append(jsonrpc.AppendRequest(l.up.out, jsonrpc.ID(id), method, params), '\n')
+	}
+	l.up.total += uint64(len(l.up.out) - before)
+	l.up.mu.Unlock()
+	if !l.up.dirty {
 		l.up.dirty = true
 		l.s.dirty = append(l.s.dirty, l.up)
 	}
@@ -279,14 +300,6 @@
 	return len(st.out)
 }
 
-func (st *stream) write(value []byte) {
-	st.mu.Lock()
-	before := len(st.out)
-	st.out = jsonrpc.AppendFrame(st.out, value, false)
-	st.total += uint64(len(st.out) - before)
-	st.mu.Unlock()
-}
-
 // Flush sends what this turn wrote; it may be called in a turn alone, at its end.
 func (s *Set) Flush() {
 	for i, st := range s.dirty {
@@ -319,7 +332,7 @@
 		if a.value == nil {
 			a.value = []byte("null")
 		}
-		l.s.engine.Answered(id, l.id, router.OK, a.warmth, a.crowd, a.report, a.value)
+		l.s.engine.Answered(id, l.id, router.OK, a.warmth, a.crowd, a.report, a.value, a.blob)
 		return
 	case Full:
 		o = router.Full
@@ -331,7 +344,7 @@
 	if a.message == "" {
 		a.message = "error " + strconv.Itoa(a.code)
 	}
-	l.s.engine.Answered(id, l.id, o, a.warmth, a.crowd, a.report, []byte(l.name+": "+a.message))
+	l.s.engine.Answered(id, l.id, o, a.warmth, a.crowd, a.report, []byte(l.name+": "+a.message), nil)
 }
 
 var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad,
@@ -406,6 +419,12 @@
 	writer := make(chan struct{})
 	go func() { defer close(writer); st.send(nc) }()
 	for p.err == nil {
+		if p.binary {
+			if err := frames.Read(r.Rest(), l.s.o.ValueBytes, p); err != nil {
+				p.err = err
+			}
+			continue
+		}
 		value, err := r.Next()
 		if err != nil {
 			p.err = err
@@ -456,8 +475,12 @@
 }
 
 // ready has what was held sent; in a turn.
-func (l *Link) ready(st *stream) {
+func (l *Link) ready(st *stream, binary bool) {
 	l.up, l.sent = st, map[string]flight{}
+	if binary {
+		l.tell("host.codec", append(jsonrpc.AppendText([]byte(`{"codec":`), frames.Name), '}'))
+		st.binary = true
+	}
 	l.tell("host.ping", append(jsonrpc.AppendText([]byte(`{"front_end":`), l.s.o.FrontEnd), '}'))
 	held := l.held
 	l.held = nil
@@ -484,11 +507,12 @@
 
 // peer reads one connection.
 type peer struct {
-	l     *Link
-	nc    net.Conn
-	st    *stream
-	ready bool
-	err   error
+	l      *Link
+	nc     net.Conn
+	st     *stream
+	ready  bool
+	binary bool
+	err    error
 }
 
 // BatchBegins implements jsonrpc.Peer.
@@ -507,7 +531,7 @@
 	l := p.l
 	switch method {
 	case "client.ready":
-		worker, version := "", 0.0
+		worker, version, offered := "", 0.0, false
 		if len(params) > 0 && params[0] == '{' {
 			_ = jsonrpc.Members(params, func(name []byte, v jsontext.Value) error {
 				switch string(name) {
@@ -515,6 +539,8 @@
 					worker, _ = jsonrpc.Text(v)
 				case "protocol":
 					version, _ = jsonrpc.Number(v)
+				case "codecs":
+					offered = bytes.Contains(v, []byte(`"`+frames.Name+`"`))
 				}
 				return nil
 			})
@@ -529,8 +555,10 @@
 		default:
 			p.ready = true
 			p.err = p.nc.SetReadDeadline(time.Time{})
-			l.s.loop.Post(func() { l.ready(p.st) })
+			l.s.loop.Post(func() { l.ready(p.st, offered) })
 		}
+	case "client.codec": // what follows is in frames
+		p.binary = p.ready
 	case "client.fail":
 		p.err = fmt.Errorf("worker %s gives up: %.200s", l.name, params)
 	}
@@ -538,8 +566,24 @@
 
 // Answered implements jsonrpc.Peer.
 func (p *peer) Answered(id jsonrpc.ID, result []byte, code int, message string, data []byte) {
+	var blob []byte
+	if text, is := jsonrpc.Text(jsonrpc.Member(result, "blob")); is {
+		var err error
+		if blob, err = base64.StdEncoding.DecodeString(text); err != nil {
+			p.err = fmt.Errorf("worker %s: blob: %w", p.l.name, err)
+			return
+		}
+	}
+	p.AnsweredWith(id, result, code, message, data, blob)
+}
+
+// AskedWith implements frames.Peer.
+func (p *peer) AskedWith(id []byte, method string, params, _ []byte) { p.Asked(id, method, params) }
+
+// AnsweredWith implements frames.Peer.
+func (p *peer) AnsweredWith(id []byte, result []byte, code int, message string, data, blob []byte) {
 	l, key := p.l, string(id)
-	a := answer{code: code, message: message}
+	a := answer{code: code, message: message, blob: blob}
 	a.read(result)
 	a.read(data)
 	l.s.loop.Post(func() {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -96,9 +96,9 @@
 }
 
 // OK answers, or never does.
-func (c *wrongClient) OK(result []byte) {
+func (c *wrongClient) OK(result, blob []byte) {
 	if c.w.answers++; c.w.answers%20 != 0 {
-		c.Client.OK(result)
+		c.Client.OK(result, blob)
 	}
 }
 
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -44,13 +44,15 @@
 	return &Open[Waiter]{seed: maphash.MakeSeed(), rpcs: map[Key]*Group[Waiter]{}}
 }
 
-// Come takes an RPC: its function and payload say what it asks for.
-func (o *Open[Waiter]) Come(key Key, function string, payload []byte, w Waiter) (*Group[Waiter], Decision) {
+// Come takes an RPC: its function and the parts of its payload say what it asks for.
+func (o *Open[Waiter]) Come(key Key, function string, w Waiter, payload ...[]byte) (*Group[Waiter], Decision) {
 	var h maphash.Hash
 	h.SetSeed(o.seed)
 	_, _ = h.WriteString(function)
-	_ = h.WriteByte(0)
-	_, _ = h.Write(payload)
+	for _, part := range payload {
+		_ = h.WriteByte(0)
+		_, _ = h.Write(part)
+	}
 	what := h.Sum64()
 	if g := o.rpcs[key]; g != nil {
 		if g.what != what {
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -26,7 +26,7 @@
 // Job is one RPC at a worker.
 type Job struct {
 	Method, Function, Token, Mark string
-	Payload                       []byte
+	Payload, Blob                 []byte
 	Until                         router.Time // its client's time is up
 	Memory                        float64
 	Lanes                         int
--- a/internal/standin/models.go
+++ b/internal/standin/models.go
@@ -12,15 +12,15 @@
 
 // infer runs a stand-in model on an infer's payload: sum* adds the elements of each input, all others give their
 // inputs back. It reports false for a payload that is no infer.
-func infer(payload []byte) (value []byte, is bool, err error) {
+func infer(payload, blob []byte) (value, out []byte, is bool, err error) {
 	raw := jsonrpc.Member(payload, "inputs")
 	if raw == nil {
-		return nil, false, nil
+		return nil, nil, false, nil
 	}
 	model := member(payload, "model")
-	inputs, err := tensor.ReadAll(raw)
+	inputs, err := tensor.ReadAll(raw, blob)
 	if err != nil {
-		return nil, true, err
+		return nil, nil, true, err
 	}
 	outputs := inputs
 	if strings.HasPrefix(model, "sum") {
@@ -28,12 +28,16 @@
 		for _, in := range inputs {
 			out, err := sum(in)
 			if err != nil {
-				return nil, true, err
+				return nil, nil, true, err
 			}
 			outputs = append(outputs, out)
 		}
 	}
-	return append(tensor.AppendAll([]byte(`{"outputs":`), outputs), '}'), true, nil
+	if len(blob) > 0 { // they come back as they came
+		value, out = tensor.AppendBeside([]byte(`{"outputs":`), outputs)
+		return append(value, '}'), out, true, nil
+	}
+	return append(tensor.AppendAll([]byte(`{"outputs":`), outputs), '}'), nil, true, nil
 }
 
 // sum adds up FP32 or INT32 elements; INT32 wraps.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mallowlanding/internal/clients"
+	"mallowlanding/internal/frames"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/record"
@@ -214,19 +218,26 @@
 
 // host is a front end's connection.
 type host struct {
-	w    *worker
-	c    *jsonrpc.Conn
-	name string          // the front end's; the reader's
-	jobs map[string]*Job // the loop's
+	w      *worker
+	c      *jsonrpc.Conn
+	name   string          // the front end's; the reader's
+	binary atomic.Bool     // frames both ways
+	jobs   map[string]*Job // the loop's
 }
 
 func (w *worker) serve(ctx context.Context, nc net.Conn) {
 	h := &host{w: w, c: jsonrpc.NewConn(nc, valueLimit), jobs: map[string]*Job{}}
+	h.c.Codec = func() func(io.Reader) error {
+		if !h.binary.Load() {
+			return nil
+		}
+		return func(in io.Reader) error { return frames.Read(in, valueLimit, h) }
+	}
 	w.mu.Lock()
 	w.conns[h] = true
 	w.mu.Unlock()
 	ready := append(jsonrpc.AppendText([]byte(`{"worker":`), w.set.Name), `,"protocol":`...)
-	h.c.Write(jsonrpc.AppendRequest(nil, nil, "client.ready", append(strconv.AppendInt(ready, links.Version, 10), '}')))
+	h.c.Write(jsonrpc.AppendRequest(nil, nil, "client.ready", append(strconv.AppendInt(ready, links.Version, 10), `,"codecs":["cbor"]}`...)))
 	_ = h.c.Serve(ctx, h)
 	w.mu.Lock()
 	delete(w.conns, h)
@@ -249,6 +260,43 @@
 
 // Asked implements jsonrpc.Peer.
 func (h *host) Asked(id jsonrpc.ID, method string, params []byte) {
+	var blob []byte
+	if text, is := jsonrpc.Text(jsonrpc.Member(params, "blob")); is {
+		var err error
+		if blob, err = base64.StdEncoding.DecodeString(text); err != nil {
+			h.fail(bytes.Clone(id), jsonrpc.InvalidParams, "blob: "+err.Error(), nil)
+			return
+		}
+	}
+	h.AskedWith(id, method, params, blob)
+}
+
+// AnsweredWith implements frames.Peer.
+func (h *host) AnsweredWith([]byte, []byte, int, string, []byte, []byte) {}
+
+// result and fail answer in the codec agreed on.
+func (h *host) result(id, result, blob []byte) {
+	if h.binary.Load() {
+		h.c.WriteRaw(frames.AppendAnswer(nil, id, result, 0, "", nil, blob))
+		return
+	}
+	if len(blob) > 0 {
+		result = append(result[:len(result)-1], `,"blob":"`...)
+		result = append(base64.StdEncoding.AppendEncode(result, blob), `"}`...)
+	}
+	h.c.Write(jsonrpc.AppendResult(nil, id, result))
+}
+
+func (h *host) fail(id []byte, code int, message string, data []byte) {
+	if h.binary.Load() {
+		h.c.WriteRaw(frames.AppendAnswer(nil, id, nil, code, message, data, nil))
+		return
+	}
+	h.c.Write(jsonrpc.AppendError(nil, id, code, message, data))
+}
+
+// AskedWith implements frames.Peer.
+func (h *host) AskedWith(id []byte, method string, params, blob []byte) {
 	w, key := h.w, bytes.Clone(id)
 	var j Job
 	var time_ms, copies float64
@@ -285,7 +333,11 @@
 		})
 	}
 	switch method {
+	case "host.codec": // from here on both sides send frames
+		h.c.Write(jsonrpc.AppendRequest(nil, nil, "client.codec", append(jsonrpc.AppendText([]byte(`{"codec":`), frames.Name), '}')))
+		h.binary.Store(true)
 	case "host.request":
+		j.Blob = blob
 		j.Mark = markOf(j.Payload)
 		r := requestRecord(&j, h.name)
 		r.Who = w.set.Name
@@ -311,10 +363,10 @@
 			w.model.Hold(string(key), j.Function, int(copies), j.Memory, j.Lanes, j.Load, func(code, stand int) {
 				data := append(strconv.AppendInt([]byte(`{"copies":`), int64(stand), 10), '}')
 				if code == 0 {
-					h.c.Write(jsonrpc.AppendResult(nil, key, data))
+					h.result(key, data, nil)
 					return
 				}
-				h.c.Write(jsonrpc.AppendError(nil, key, code, "copies can't be held", data))
+				h.fail(key, code, "copies can't be held", data)
 			})
 		})
 	case "host.call_off":
@@ -328,14 +380,14 @@
 	case "host.ping":
 		w.loop.Post(func() {
 			if len(key) > 0 && w.model.now >= w.model.hungUntil {
-				h.c.Write(jsonrpc.AppendResult(nil, key, append(w.appendReport([]byte("{")), '}')))
+				h.result(key, append(w.appendReport([]byte("{")), '}'), nil)
 			}
 		})
 	case "host.shutdown":
 		h.c.Close()
 	default:
 		if len(key) > 0 {
-			h.c.Write(jsonrpc.AppendError(nil, key, jsonrpc.MethodNotFound, fmt.Sprintf("no method %.80q", method), nil))
+			h.fail(key, jsonrpc.MethodNotFound, fmt.Sprintf("no method %.80q", method), nil)
 		}
 	}
 }
@@ -359,18 +411,18 @@
 	}
 	b = h.w.appendReport(b)
 	if a.Code != 0 {
-		h.c.Write(jsonrpc.AppendError(nil, id, a.Code, a.Message, append(b, '}')))
+		h.fail(id, a.Code, a.Message, append(b, '}'))
 		return
 	}
 	if a.Repeat {
 		b = append(b, `,"repeat":true`...)
 	}
-	if value, is, err := infer(j.Payload); is {
+	if value, blob, is, err := infer(j.Payload, j.Blob); is {
 		if err != nil {
-			h.c.Write(jsonrpc.AppendError(nil, id, failed, err.Error(), append(b, '}')))
+			h.fail(id, failed, err.Error(), append(b, '}'))
 			return
 		}
-		h.c.Write(jsonrpc.AppendResult(nil, id, append(append(append(b, `,"value":`...), value...), '}')))
+		h.result(id, append(append(append(b, `,"value":`...), value...), '}'), blob)
 		return
 	}
 	b = jsonrpc.AppendText(append(b, `,"value":{"worker":`...), h.w.set.Name)
@@ -379,7 +431,7 @@
 		payload = []byte("null")
 	}
 	b = append(append(b, `,"payload":`...), payload...)
-	h.c.Write(jsonrpc.AppendResult(nil, id, append(b, "}}"...)))
+	h.result(id, append(b, "}}"...), nil)
 }
 
 func (w *worker) keep(r record.Record) {
--- a/internal/tensor/form.go
+++ b/internal/tensor/form.go
@@ -13,8 +13,8 @@
 	"mallowlanding/internal/jsonrpc"
 )
 
-// The form in which tensors travel to workers and back: an array of {name, datatype, shape, raw}, raw being the bytes
-// in base64.
+// The forms in which tensors travel to workers and back: an array of {name, datatype, shape, raw}, raw being the bytes
+// in base64; or of {name, datatype, shape, size}, with the bytes of all, one behind the other, beside it.
 
 // Each calls f for the elements of an array of objects; name is what an error calls the array.
 func Each(v jsontext.Value, name string, f func(part jsontext.Value) error) error {
@@ -77,8 +77,29 @@
 	return append(b, ']')
 }
 
-// ReadAll reads tensors in the workers' form, and checks them.
-func ReadAll(v []byte) (out []Tensor, err error) {
+// AppendBeside appends tensors in the workers' form without their bytes, and gives those.
+func AppendBeside(b []byte, ts []Tensor) (out, blob []byte) {
+	if len(ts) == 1 { // as they are
+		blob = ts[0].Raw
+	}
+	b = append(b, '[')
+	for i, t := range ts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = jsonrpc.AppendText(append(b, `{"name":`...), t.Name)
+		b = jsonrpc.AppendText(append(b, `,"datatype":`...), t.Datatype)
+		b = AppendShape(append(b, `,"shape":`...), t.Shape)
+		b = append(strconv.AppendInt(append(b, `,"size":`...), int64(len(t.Raw)), 10), '}')
+		if len(ts) > 1 {
+			blob = append(blob, t.Raw...)
+		}
+	}
+	return append(b, ']'), blob
+}
+
+// ReadAll reads tensors in either of the workers' forms, and checks them. Theirs are parts of blob where it has them.
+func ReadAll(v, blob []byte) (out []Tensor, err error) {
 	err = Each(v, "tensors", func(part jsontext.Value) (err error) {
 		var t Tensor
 		t.Name, _ = jsonrpc.Text(jsonrpc.Member(part, "name"))
@@ -86,6 +107,15 @@
 		if t.Shape, err = ReadShape(jsonrpc.Member(part, "shape")); err != nil {
 			return err
 		}
+		if size := jsonrpc.Member(part, "size"); size != nil {
+			n, err := strconv.ParseUint(string(size), 10, 31)
+			if err != nil || n > uint64(len(blob)) {
+				return fmt.Errorf("tensor %q: size %.40s, but %d bytes are left", t.Name, size, len(blob))
+			}
+			t.Raw, blob = blob[:n:n], blob[n:]
+			out = append(out, t)
+			return t.Check()
+		}
 		text, _ := jsonrpc.Text(jsonrpc.Member(part, "raw"))
 		if t.Raw, err = base64.StdEncoding.DecodeString(text); err != nil {
 			return err
