Batches as a decision: idempotent RPCs of one function may ride one call-out

Off by default, idempotent methods alone. One that leaves, is called off or times out does not disturb the others; the module still decides each one's path.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -251,6 +251,7 @@
 	Payload   int           `default:"128" help:"Bytes of each payload."`
 	Functions int           `default:"4" help:"Functions asked for in turn."`
 	Flood     bool          `help:"Measure single RPCs beside a flooding neighbour instead."`
+	Batching  bool          `help:"Measure batches of up to eight and none under rising load instead."`
 	Fronts    bool          `help:"Measure JSON-RPC, HTTP and gRPC on one function, with tensors of 1 KiB and 1 MiB, instead."`
 	Work      time.Duration `default:"0s" help:"What an RPC takes at a worker."`
 	Rate      float64       `help:"RPCs a second of the open loop; by default half of what the front end reached."`
@@ -264,6 +265,9 @@
 	}
 	o := measure.Options{Span: c.Span, Workers: c.Workers, Cores: c.Cores, Payload: c.Payload, Functions: c.Functions,
 		Rate: c.Rate, Work: c.Work}
+	if c.Batching {
+		return measure.Batching(e.ctx, exe, o, []float64{200, 400, 800, 1200, 1600}, e.out)
+	}
 	if c.Fronts {
 		return measure.Fronts(e.ctx, exe, o, []int{1 << 10, 1 << 20}, e.out)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -49,6 +49,9 @@
 	Effect   string
 	Group    string  // of a tokened one: the workers that drop its repeats
 	Gain     float64 // what an answer in time is worth
+	Soft     router.Time
+	Batch    int         // so many of one function may ride one call-out to a worker; 1: none do
+	Wait     router.Time // for so long they may wait for each other
 	Deadline router.Time
 }
 
@@ -78,8 +81,9 @@
 	Fn       Function
 	Token    string
 	Customer string
-	Payload  []byte // JSON
-	Blob     []byte // bytes beside it
+	Soft     router.Time // when its soft deadline is over
+	Payload  []byte      // JSON
+	Blob     []byte      // bytes beside it
 }
 
 type named struct {
@@ -218,7 +222,7 @@
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
 	e.names[fid] = named{function, fn}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
-		Fn: fn, Token: token, Payload: payload, Blob: blob, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
+		Fn: fn, Token: token, Payload: payload, Blob: blob, Soft: e.now + method.Soft, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
 	e.rpcs[id] = p
 	e.wanted.Take(fid)
 	e.counts.Taken++
@@ -307,6 +311,12 @@
 	}
 }
 
+// Out tells whether a call-out has not ended.
+func (e *Engine) Out(id CallOutID) bool {
+	p, n := e.rpcs[router.RPCID(id>>8)], int(id&0xff)
+	return p != nil && n < len(p.calls) && !p.calls[n].done
+}
+
 // Answered tells how a call-out ended, as the worker answered or the link saw. Result is the worker's, for OK; the
 // cause in words, else. A call-out that is unknown, over, or of another worker is passed over: it reports false.
 func (e *Engine) Answered(id CallOutID, w router.WorkerID, o router.Outcome, warmth router.Warmth, crowd int,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,7 @@
 // Begin begins a turn.
 func (m *machine) Begin(now router.Time) {
 	m.desk.Begin(now)
+	m.links.Begin(now)
 	m.Engine.Begin(now)
 }
 
@@ -55,7 +56,10 @@
 	a, anyA := m.Engine.Due()
 	b, anyB := m.desk.Due()
 	if anyA && (!anyB || a < b) {
-		return a, true
+		b, anyB = a, true
+	}
+	if c, anyC := m.links.Due(); anyC && (!anyB || c < b) {
+		return c, true
 	}
 	return b, anyB
 }
@@ -64,6 +68,7 @@
 func (m *machine) End() {
 	m.desk.Pump()
 	m.Engine.End()
+	m.links.Leave()
 	m.links.Flush()
 	m.clients.Flush()
 }
--- a/internal/kserve/http_test.go
+++ b/internal/kserve/http_test.go
@@ -275,6 +275,67 @@
 	}
 }
 
+// Infers that ride one call-out each have their own answer, also when one of them leaves.
+func TestBatch(t *testing.T) {
+	dir := start(t)
+	transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "unix", filepath.Join(dir, "kserve.sock"))
+	}}
+	defer transport.CloseIdleConnections()
+	ask := func(ctx context.Context, n int) error {
+		body := fmt.Sprintf(`{"inputs":[{"name":"x","datatype":"INT32","shape":[1],"data":[%d]}]}`, n)
+		r, err := http.NewRequestWithContext(ctx, "POST", "http://front/v2/models/together/infer", strings.NewReader(body))
+		if err != nil {
+			return err
+		}
+		answer, err := transport.RoundTrip(r)
+		if err != nil {
+			return err
+		}
+		defer answer.Body.Close()
+		text, err := io.ReadAll(answer.Body)
+		if err == nil && !strings.Contains(string(text), fmt.Sprintf(`"data":[%d]`, n)) {
+			err = fmt.Errorf("RPC %d got %s", n, text)
+		}
+		return err
+	}
+	if err := ask(context.Background(), 0); err != nil { // it is loaded now
+		t.Fatal(err)
+	}
+	worked := func() (n int) {
+		seen, err := record.Read(filepath.Join(dir, "w.log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range seen {
+			if r.Kind == record.Worked {
+				n++
+			}
+		}
+		return n
+	}
+	before := worked()
+	var all sync.WaitGroup
+	for n := 1; n <= 4; n++ {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if n == 2 { // while it runs
+				time.AfterFunc(60*time.Millisecond, cancel)
+			}
+			if err := ask(ctx, n); (err != nil) != (n == 2) {
+				t.Error(err)
+			}
+		}()
+	}
+	all.Wait()
+	if n := worked() - before; n < 1 || n > 3 {
+		t.Errorf("four RPCs were %d call-outs' work", n)
+	}
+}
+
 // A body over the bound is refused before it is read; a client that leaves has its RPC called off at the worker.
 func TestLargeAndLeaving(t *testing.T) {
 	dir := start(t)
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"mallowlanding/internal/batch"
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/frames"
 	"mallowlanding/internal/jsonrpc"
@@ -60,11 +61,27 @@
 	group  errgroup.Group
 	ctx    context.Context
 	dirty  []*stream // written to in this turn
+
+	now     router.Time
+	batches *batch.Lines[riders, engine.CallOutID]
+	waiting map[engine.CallOutID]rider // in a batch that has not left
+}
+
+// riders wait for each other: RPCs of one function to one worker.
+type riders struct{ worker, function string }
+
+// rider is one of them: its request as it came, and how long its client waited then.
+type rider struct {
+	l    *Link
+	p    *engine.RPC
+	came router.Time
+	left router.Time
 }
 
 // New makes a set whose links live until the context ends.
 func New(ctx context.Context, loop *turn.Loop, e *engine.Engine, o Options) *Set {
-	return &Set{o: o, loop: loop, engine: e, links: map[string]*Link{}, ctx: ctx}
+	return &Set{o: o, loop: loop, engine: e, links: map[string]*Link{}, ctx: ctx,
+		batches: batch.New[riders, engine.CallOutID](), waiting: map[engine.CallOutID]rider{}}
 }
 
 // Wait returns once all links' goroutines have ended, after the context's end.
@@ -138,10 +155,11 @@
 
 // stream is what goes out on one connection; nothing handed to it ever goes out on another.
 type stream struct {
-	now    sock.Writer
-	binary bool   // the loop's: the codec agreed on
-	total  uint64 // the loop's: bytes handed to the writer
-	dirty  bool   // the loop's: written to in this turn
+	now     sock.Writer
+	binary  bool   // the loop's: the codec agreed on
+	batches bool   // the loop's: the worker takes host.batch
+	total   uint64 // the loop's: bytes handed to the writer
+	dirty   bool   // the loop's: written to in this turn
 
 	mu      sync.Mutex
 	out     []byte
@@ -162,6 +180,87 @@
 
 // Send implements engine.Link.
 func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+	if p.Method.Batch > 1 && l.up != nil && l.up.binary && l.up.batches {
+		s := l.s
+		s.waiting[id] = rider{l, p, s.now, left}
+		s.sendBatch(s.batches.Add(s.now, riders{l.name, p.Function}, id, p.Method.Batch, p.Method.Wait, p.Soft-s.now))
+		return
+	}
+	l.askWith(string(jsonrpc.NumberID(uint64(id))), "host.request", requestParams(p, left), p.Blob, l.flightOf(id))
+}
+
+// flightOf is a call-out's: who is told how it ended.
+func (l *Link) flightOf(id engine.CallOutID) flight {
+	return flight{
+		ended: func(o router.Outcome, cause string) {
+			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause), nil)
+		},
+		answer: func(a answer) { l.answered(id, a) },
+	}
+}
+
+// sendBatch sends what rides together, each under its own id; one alone goes as it would without.
+func (s *Set) sendBatch(ids []engine.CallOutID) {
+	ids = slices.DeleteFunc(ids, func(id engine.CallOutID) bool {
+		over := !s.engine.Out(id) // its time was up meanwhile: this front end stood still
+		if over {
+			delete(s.waiting, id)
+		}
+		return over
+	})
+	if len(ids) == 0 {
+		return
+	}
+	var blob []byte
+	b := []byte(`{"requests":[`)
+	var l *Link
+	for i, id := range ids {
+		r := s.waiting[id]
+		delete(s.waiting, id)
+		l = r.l
+		left := max(0, r.left-(s.now-r.came))
+		if len(ids) == 1 {
+			l.askWith(string(jsonrpc.NumberID(uint64(id))), "host.request", requestParams(r.p, left), r.p.Blob, l.flightOf(id))
+			return
+		}
+		if i > 0 {
+			b = append(b, ',')
+		}
+		part := requestParams(r.p, left)
+		b = append(append(b, part[:len(part)-1]...), `,"id":`...)
+		b = strconv.AppendInt(append(strconv.AppendUint(b, uint64(id), 10), `,"blob_bytes":`...), int64(len(r.p.Blob)), 10)
+		b = append(b, '}')
+		blob = append(blob, r.p.Blob...)
+	}
+	if l.up == nil { // it went down in this turn
+		for _, id := range ids {
+			l.s.loop.Post(func() { l.flightOf(id).ended(router.ConnectFailed, "no connection to "+l.name) })
+		}
+		return
+	}
+	for _, id := range ids {
+		f := l.flightOf(id)
+		f.at = l.up.total
+		l.sent[string(jsonrpc.NumberID(uint64(id)))] = f
+	}
+	l.write("", "host.batch", append(b, "]}"...), blob)
+}
+
+// Begin tells the time of a turn.
+func (s *Set) Begin(now router.Time) { s.now = now }
+
+// Due tells when a batch leaves.
+func (s *Set) Due() (router.Time, bool) { return s.batches.Due() }
+
+// Leave sends the batches whose wait is over; it may be called in a turn alone, before Flush.
+func (s *Set) Leave() {
+	for _, ids := s.batches.Leave(s.now); ids != nil; _, ids = s.batches.Leave(s.now) {
+		s.sendBatch(ids)
+	}
+}
+
+// requestParams are a request's, for a client that waits so long.
+func requestParams(p *engine.RPC, left router.Time) []byte {
 	b := append(make([]byte, 0, 256+len(p.Payload)), `{"method":`...)
 	b = jsonrpc.AppendText(b, p.Method.Name)
 	b = jsonrpc.AppendText(append(b, `,"function":`...), p.Function)
@@ -173,13 +272,7 @@
 	if len(p.Payload) > 0 {
 		b = append(append(b, `,"payload":`...), p.Payload...)
 	}
-	b = append(b, '}')
-	l.askWith(string(jsonrpc.NumberID(uint64(id))), "host.request", b, p.Blob, flight{
-		ended: func(o router.Outcome, cause string) {
-			l.s.engine.Answered(id, l.id, o, router.Untold, 0, nil, []byte(cause), nil)
-		},
-		answer: func(a answer) { l.answered(id, a) },
-	})
+	return append(b, '}')
 }
 
 func appendFunction(b []byte, fn engine.Function) []byte {
@@ -190,6 +283,12 @@
 
 // CallOff implements engine.Link.
 func (l *Link) CallOff(id engine.CallOutID) {
+	if r, waits := l.s.waiting[id]; waits { // it has not left: it never ran
+		l.s.batches.Drop(riders{l.name, r.p.Function}, id)
+		delete(l.s.waiting, id)
+		l.s.loop.Post(func() { l.flightOf(id).ended(router.Full, "called off before it left") })
+		return
+	}
 	params := append(strconv.AppendUint([]byte(`{"id":`), uint64(id), 10), '}')
 	if l.up != nil {
 		l.tell("host.call_off", params)
@@ -475,11 +574,11 @@
 }
 
 // ready has what was held sent; in a turn.
-func (l *Link) ready(st *stream, binary bool) {
+func (l *Link) ready(st *stream, binary, batches bool) {
 	l.up, l.sent = st, map[string]flight{}
 	if binary {
 		l.tell("host.codec", append(jsonrpc.AppendText([]byte(`{"codec":`), frames.Name), '}'))
-		st.binary = true
+		st.binary, st.batches = true, batches
 	}
 	l.tell("host.ping", append(jsonrpc.AppendText([]byte(`{"front_end":`), l.s.o.FrontEnd), '}'))
 	held := l.held
@@ -492,6 +591,18 @@
 // down ends all that was out: written tells how many bytes of the stream the socket took.
 func (l *Link) down(written uint64, err error) {
 	l.up = nil
+	var unsent []engine.CallOutID
+	for id, r := range l.s.waiting {
+		if r.l == l {
+			unsent = append(unsent, id)
+		}
+	}
+	slices.Sort(unsent)
+	for _, id := range unsent {
+		l.s.batches.Drop(riders{l.name, l.s.waiting[id].p.Function}, id)
+		delete(l.s.waiting, id)
+		l.flightOf(id).ended(router.ConnectFailed, "connection to "+l.name+" lost before it left")
+	}
 	sent := l.sent
 	l.sent = map[string]flight{}
 	cause := fmt.Sprintf("connection to %s lost: %v", l.name, err)
@@ -531,7 +642,7 @@
 	l := p.l
 	switch method {
 	case "client.ready":
-		worker, version, offered := "", 0.0, false
+		worker, version, offered, batches := "", 0.0, false, false
 		if len(params) > 0 && params[0] == '{' {
 			_ = jsonrpc.Members(params, func(name []byte, v jsontext.Value) error {
 				switch string(name) {
@@ -539,6 +650,8 @@
 					worker, _ = jsonrpc.Text(v)
 				case "protocol":
 					version, _ = jsonrpc.Number(v)
+				case "batches":
+					batches = v.Kind() == 't'
 				case "codecs":
 					offered = bytes.Contains(v, []byte(`"`+frames.Name+`"`))
 				}
@@ -555,7 +668,7 @@
 		default:
 			p.ready = true
 			p.err = p.nc.SetReadDeadline(time.Time{})
-			l.s.loop.Post(func() { l.ready(p.st, offered) })
+			l.s.loop.Post(func() { l.ready(p.st, offered, batches) })
 		}
 	case "client.codec": // what follows is in frames
 		p.binary = p.ready
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -27,13 +27,15 @@
 
 // Options say what is measured.
 type Options struct {
-	Span      time.Duration // of each measurement
-	Workers   int
-	Cores     int // that the front end may use
-	Payload   int // bytes
-	Functions int
-	Work      time.Duration // of each RPC at a worker
-	Rate      float64       // RPCs a second of the open loop; 0: half of what the front end reached
+	Batch       int           // RPCs that may ride one call-out; 0: one
+	WorkerCores int           // of each stand-in worker; 0: so many that none waits
+	Span        time.Duration // of each measurement
+	Workers     int
+	Cores       int // that the front end may use
+	Payload     int // bytes
+	Functions   int
+	Work        time.Duration // of each RPC at a worker
+	Rate        float64       // RPCs a second of the open loop; 0: half of what the front end reached
 }
 
 const (
@@ -145,7 +147,8 @@
 type result struct {
 	rate   float64
 	failed int64
-	h      *hdrhistogram.Histogram
+	h      *hdrhistogram.Histogram // of all
+	ok     *hdrhistogram.Histogram // of those that were ok; of open loops alone
 }
 
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60e6, 3) }
@@ -199,7 +202,7 @@
 func (y way) openLoop(ctx context.Context, rate float64, span time.Duration, o Options) result {
 	var mu sync.Mutex
 	var failed atomic.Int64
-	r := result{h: histogram()}
+	r := result{h: histogram(), ok: histogram()}
 	var wait sync.WaitGroup
 	begin := time.Now()
 	for n := 0; ctx.Err() == nil; n++ {
@@ -222,6 +225,9 @@
 			}
 			mu.Lock()
 			_ = r.h.RecordValue(took)
+			if a.Err == nil && a.Code == 0 {
+				_ = r.ok.RecordValue(took)
+			}
 			mu.Unlock()
 			wait.Done()
 		})
@@ -238,16 +244,16 @@
 		"roster": fmt.Sprintf(`<roster socket="%s/roster.sock" lag-ms="0"/>`, dir),
 		"front": fmt.Sprintf(`<front-end name="front"><clients socket="%[1]s/front.sock" open="100000" %[2]s/>%[3]s<workers value-bytes="67108864"/>
 <roster socket="%[1]s/roster.sock"/><service>
-<method name="query" effect="idempotent" memory-mb="16" lanes="64" load-ms="300"/><kind name="std" memory-mb="4096"/>
-<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits, kserve),
+<method name="query" effect="idempotent" memory-mb="16" lanes="64" load-ms="300" soft-deadline-ms="%[4]d" batch="%[5]d"/><kind name="std" memory-mb="4096"/>
+<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits, kserve, softMs, max(o.Batch, 1)),
 	}
 	command := map[string]string{"roster": "roster", "front": "serve"}
 	order := []string{"roster"}
 	for i := range o.Workers {
 		name := fmt.Sprintf("worker-%d", i)
 		docs[name] = fmt.Sprintf(`<worker name="%[2]s" socket="%[1]s/%[2]s.sock" kind="std" cold="no">
-<machine cores="64" keep-alive-ms="600000"/><work method="query" mean-ms="%[3]g" spread="0"/><roster socket="%[1]s/roster.sock"/></worker>`,
-			dir, name, float64(o.Work)/float64(time.Millisecond))
+<machine cores="%[4]d" keep-alive-ms="600000"/><work method="query" mean-ms="%[3]g" spread="0"/><roster socket="%[1]s/roster.sock"/></worker>`,
+			dir, name, float64(o.Work)/float64(time.Millisecond), cmp.Or(o.WorkerCores, 64))
 		command[name] = "worker"
 		order = append(order, name)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,8 @@
 	Memory    float64     `a:"memory-mb" def:"256" min:"1" max:"1e6"`
 	Lanes     int         `a:"lanes" def:"1" min:"1" max:"1024"`
 	Load      router.Time `a:"load-ms" def:"500" min:"1" max:"600000"`
+	Batch     int         `a:"batch" def:"1" min:"1" max:"64"`
+	BatchWait router.Time `a:"batch-wait-ms" def:"2" min:"0" max:"1000"`
 }
 
 // Customer is somebody who pays for a share of the service.
@@ -378,6 +380,8 @@
 			return m.Errorf("method %q is tokened: group and window-ms are missing", m.Name)
 		case !tokened && (m.Group != "" || m.Window != 0):
 			return m.Errorf("method %q is %s: group and window-ms belong to tokened methods", m.Name, m.Effect)
+		case m.Batch > 1 && m.Effect != router.Idempotent:
+			return m.Errorf("method %q: only idempotent RPCs ride one call-out (batch)", m.Name)
 		case m.Soft > m.Deadline:
 			return m.Errorf("method %q: soft-deadline-ms is over deadline-ms", m.Name)
 		case len(m.Name) >= 4 && m.Name[:4] == "rpc.":
@@ -439,7 +443,7 @@
 	var out []engine.Method
 	for _, m := range s.Methods {
 		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Group: m.Group, Gain: m.Gain,
-			Deadline: m.Deadline})
+			Deadline: m.Deadline, Soft: m.Soft, Batch: m.Batch, Wait: m.BatchWait})
 	}
 	return out
 }
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"math"
 	"math/rand"
 	"slices"
@@ -33,6 +34,8 @@
 	Load                          router.Time
 	Done                          func(Answer)
 
+	batch  []*Job // that ride with it
+	lead   *Job   // of the batch that it rides with
 	fn     *copies
 	work   *settings.WorkMethod
 	answer Answer
@@ -157,6 +160,26 @@
 	return fn
 }
 
+// batchCost is what each further RPC of a batch adds to the work of the first, as a share of it: a batch shares what
+// a call of a model costs by itself.
+const batchCost = 0.2
+
+// Batch takes RPCs of one function that ride together: they run as one, each with its own end.
+func (m *Model) Batch(jobs []*Job) {
+	lead := jobs[0]
+	lead.batch = jobs[1:]
+	for _, j := range lead.batch {
+		m.jobs++
+		j.lead = lead
+		if j.work = m.work[j.Method]; j.work == nil {
+			j.work = &settings.WorkMethod{Method: j.Method, Effect: router.SideEffecting}
+		}
+		m.press(j)
+		lead.Until = max(lead.Until, j.Until)
+	}
+	m.Request(lead)
+}
+
 // Request takes an RPC.
 func (m *Model) Request(j *Job) {
 	m.jobs++
@@ -246,6 +269,16 @@
 // CallOff drops an RPC that has not begun, and stops one that runs, as far as the machine does that. A load that
 // nobody waits for any more is given up: see nextLoads and runLoad.
 func (m *Model) CallOff(j *Job) {
+	if j.lead != nil || len(j.batch) > 0 { // the others go on
+		switch lead := cmp.Or(j.lead, j); {
+		case j.over || m.now < m.hungUntil:
+		case lead.begun:
+			m.finish1(j, Answer{Code: calledOff, Message: "called off while it ran"})
+		default:
+			m.finish1(j, Answer{Code: full, Message: "called off before it began"})
+		}
+		return
+	}
 	if j.over || m.set.Machine.Stops == "nothing" || m.now < m.hungUntil {
 		return
 	}
@@ -283,12 +316,21 @@
 }
 
 func (m *Model) finish(j *Job, a Answer) {
+	m.timers.Stop(&j.timer)
+	m.finish1(j, a)
+	for _, rider := range j.batch {
+		rider.answer = j.answer
+		m.finish1(rider, a)
+	}
+}
+
+// finish1 ends one RPC, whatever it rides with.
+func (m *Model) finish1(j *Job, a Answer) {
 	if j.over {
 		return
 	}
 	j.over = true
 	m.jobs--
-	m.timers.Stop(&j.timer)
 	a.Crowd = j.answer.Crowd
 	if a.Warmth == "" && a.Code == 0 {
 		a.Warmth = j.answer.Warmth
@@ -316,6 +358,7 @@
 		if s := j.work.Spread; s > 0 {
 			work *= math.Exp(s*m.rng.NormFloat64() - s*s/2)
 		}
+		work *= 1 + batchCost*float64(len(j.batch))
 		if m.now < m.slowUntil {
 			work *= m.slow
 		}
@@ -334,6 +377,11 @@
 	m.free++
 	j.ran = true
 	m.world.Worked(j, m.now-j.coreAt)
+	for _, rider := range j.batch {
+		if !rider.over {
+			m.world.Effect(rider, false) // only idempotent RPCs ride
+		}
+	}
 	m.effect(j, func(first, ok bool) {
 		if !ok {
 			m.leaveLane(j, Answer{Code: failed, Message: "its token can't be looked up"})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -25,6 +25,7 @@
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
+	"mallowlanding/internal/tensor"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
@@ -237,7 +238,7 @@
 	w.conns[h] = true
 	w.mu.Unlock()
 	ready := append(jsonrpc.AppendText([]byte(`{"worker":`), w.set.Name), `,"protocol":`...)
-	h.c.Write(jsonrpc.AppendRequest(nil, nil, "client.ready", append(strconv.AppendInt(ready, links.Version, 10), `,"codecs":["cbor"]}`...)))
+	h.c.Write(jsonrpc.AppendRequest(nil, nil, "client.ready", append(strconv.AppendInt(ready, links.Version, 10), `,"codecs":["cbor"],"batches":true}`...)))
 	_ = h.c.Serve(ctx, h)
 	w.mu.Lock()
 	delete(w.conns, h)
@@ -297,6 +298,10 @@
 
 // AskedWith implements frames.Peer.
 func (h *host) AskedWith(id []byte, method string, params, blob []byte) {
+	if method == "host.batch" {
+		h.batch(params, blob)
+		return
+	}
 	w, key := h.w, bytes.Clone(id)
 	var j Job
 	var time_ms, copies float64
@@ -338,18 +343,7 @@
 		h.binary.Store(true)
 	case "host.request":
 		j.Blob = blob
-		j.Mark = markOf(j.Payload)
-		r := requestRecord(&j, h.name)
-		r.Who = w.set.Name
-		if m := w.model.work[j.Method]; m != nil {
-			r.Cost = float64(m.Mean) / 10
-		}
-		w.keep(r)
-		j.Done = func(a Answer) {
-			delete(h.jobs, string(key))
-			w.keep(record.Record{Kind: record.Ended, Who: w.set.Name, FrontEnd: h.name, RPC: j.Mark, N: a.Code})
-			h.answer(key, &j, a)
-		}
+		h.takes(key, &j)
 		w.loop.Post(func() {
 			j.Until = w.loop.Now() + router.Time(time_ms*10)
 			h.jobs[string(key)] = &j
@@ -392,6 +386,57 @@
 	}
 }
 
+// takes notes a request that came, and where its answer goes.
+func (h *host) takes(key []byte, j *Job) {
+	w := h.w
+	j.Mark = markOf(j.Payload)
+	r := requestRecord(j, h.name)
+	r.Who = w.set.Name
+	if m := w.model.work[j.Method]; m != nil {
+		r.Cost = float64(m.Mean) / 10
+	}
+	w.keep(r)
+	j.Done = func(a Answer) {
+		delete(h.jobs, string(key))
+		w.keep(record.Record{Kind: record.Ended, Who: w.set.Name, FrontEnd: h.name, RPC: j.Mark, N: a.Code})
+		h.answer(key, j, a)
+	}
+}
+
+// batch takes requests that ride together, each with its own id and its part of the blob.
+func (h *host) batch(params, blob []byte) {
+	var jobs []*Job
+	var keys []string
+	var spans []router.Time
+	err := tensor.Each(jsonrpc.Member(params, "requests"), "requests", func(part jsontext.Value) error {
+		number := func(name string) float64 { n, _ := jsonrpc.Number(jsonrpc.Member(part, name)); return n }
+		size := int(number("blob_bytes"))
+		if size < 0 || size > len(blob) {
+			return fmt.Errorf("blob_bytes %d, but %d bytes are left", size, len(blob))
+		}
+		j := &Job{Method: member(part, "method"), Function: member(part, "function"), Token: member(part, "token"),
+			Memory: number("memory_mb"), Lanes: int(number("lanes")), Load: router.Time(number("load_ms") * 10),
+			Payload: bytes.Clone(jsonrpc.Member(part, "payload")), Blob: blob[:size:size]}
+		blob = blob[size:]
+		key := bytes.Clone(jsonrpc.Member(part, "id"))
+		h.takes(key, j)
+		jobs, keys, spans = append(jobs, j), append(keys, string(key)), append(spans, router.Time(number("time_ms")*10))
+		return nil
+	})
+	if err != nil || len(jobs) == 0 {
+		h.w.log.Warn().Err(err).Msg("a batch that can't be read")
+		h.c.Close()
+		return
+	}
+	h.w.loop.Post(func() {
+		for i, j := range jobs {
+			j.Until = h.w.loop.Now() + spans[i]
+			h.jobs[keys[i]] = j
+		}
+		h.w.model.Batch(jobs)
+	})
+}
+
 func (w *worker) appendReport(b []byte) []byte {
 	b = append(b, `"report":[`...)
 	for i, v := range w.model.Report() {
