The Node client's test waits for the killed front end's end

A process that is killed closes its connections before its listener: a new connection may still be taken and then reset, which the client rightly calls lost.

--- a/clients/node/test/client.test.ts
+++ b/clients/node/test/client.test.ts
@@ -113,8 +113,10 @@
   const held = ["x", "y", "z"].map((fn) => c.call({ method: "hold", function: fn }));
   const ended = Promise.allSettled(held);
   await new Promise((r) => setTimeout(r, 20));
+  const exited = new Promise((r) => demo.once("exit", r));
   demo.kill("SIGKILL");
   for (const r of await ended) assert.ok(r.status === "rejected" && r.reason instanceof Lost, JSON.stringify(r));
+  await exited; // until then its listener may still take a connection
   await assert.rejects(c.call({ method: "query", function: "f" }), Unsent);
   await c.close();
 });
