--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -142,9 +142,9 @@
 		// what the scenario does not set has the schema's defaults
 		file := f.path("%s.xml", fe.Name)
 		text := fmt.Sprintf(`<front-end name=%q number="%d" of="%d" seed="%d"%s>
-  <clients socket=%q open="100000"/>
+  <clients socket=%q open="100000"/>%s
   <roster socket=%q cache=%q/>
-`, fe.Name, i, fe.Of, fe.Seed, zoneAttr(s, i), f.socket(i), roster.Socket, f.path("%s.list", fe.Name))
+`, fe.Name, i, fe.Of, fe.Seed, zoneAttr(s, i), f.socket(i), f.kserve(i), roster.Socket, f.path("%s.list", fe.Name))
 		service, err := settings.Text("service", fe.Service)
 		if err != nil {
 			return err
@@ -157,6 +157,24 @@
 	return group.Wait()
 }
 
+// kserve is the second front's element, where part of the load comes over it: each function is a model.
+func (f *fleet) kserve(i int) string {
+	models := ""
+	for _, m := range f.s.Load.Mix {
+		for n := range f.s.Load.Functions {
+			if name := fmt.Sprintf("%s-%d", m.Method, n); m.Front == "http" {
+				models += fmt.Sprintf("    <model name=%[1]q method=%[2]q function=%[1]q/>\n", name, m.Method)
+			}
+		}
+	}
+	if models == "" {
+		return ""
+	}
+	return fmt.Sprintf("\n  <kserve socket=%q>\n%s  </kserve>", f.httpSocket(i), models)
+}
+
+func (f *fleet) httpSocket(i int) string { return f.path("%s.http", frontEnd(i)) }
+
 func zoneAttr(s *settings.Scenario, i int) string {
 	if len(s.Service.Zones) == 0 {
 		return ""
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -1,12 +1,16 @@
 package rehearse
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math"
 	"math/rand"
 	"net"
+	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -264,6 +268,9 @@
 // try sends one RPC and waits for its answer, for its time and some more: late answers are seen, too.
 func (c *callers) try(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
 	m *settings.Method, span time.Duration, repeat bool, rng *rand.Rand) (outcome string, sent bool, comeBack time.Duration) {
+	if mix.Front == "http" && !strings.Contains(function, "-once-") {
+		return c.tryHTTP(ctx, front, mark, token, function, mix, m, span)
+	}
 	impatient := rng.Float64() < c.s.Clients.Impatient
 	var conn *jsonrpc.Caller
 	var err error
@@ -348,6 +355,60 @@
 	}
 }
 
+// tryHTTP is try over the second front.
+func (c *callers) tryHTTP(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
+	m *settings.Method, span time.Duration) (outcome string, sent bool, comeBack time.Duration) {
+	body := fmt.Sprintf(`{"parameters":{"mark":%q},"inputs":[{"name":"x","datatype":"INT32","shape":[1],"data":[1]}]}`, mark)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://front/v2/models/"+function+"/infer", strings.NewReader(body))
+	if err != nil {
+		return "lost", false, 0
+	}
+	ms := math.Floor(float64(span)/1e5) / 10
+	r.Header.Set("Inference-Timeout-Ms", strconv.FormatFloat(ms, 'f', 1, 64))
+	if m.Effect == router.Tokened {
+		r.Header.Set("Idempotency-Key", token)
+	}
+	if mix.Customer != "" {
+		r.Header.Set("Inference-Customer", mix.Customer)
+	}
+	keep := func(kind, outcome string) {
+		c.keep(record.Record{T: time.Now().UnixNano(), Who: "client", FrontEnd: frontEnd(front), RPC: mark, Method: m.Name,
+			Function: function, Token: token, Time: ms, Kind: kind, Outcome: outcome})
+	}
+	// a connection of its own: a pooled one that the front end closes would be tried again by the library
+	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", c.fleet.httpSocket(front))
+	if err != nil {
+		return "lost", false, 0
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(time.Now().Add(span + time.Duration(c.s.Slack)*turn.Unit + time.Second))
+	keep(record.Sent, "")
+	r.Close = true
+	if err = r.Write(nc); err == nil {
+		var answer *http.Response
+		if answer, err = http.ReadResponse(bufio.NewReader(nc), r); err == nil {
+			_, err = io.Copy(io.Discard, answer.Body)
+			answer.Body.Close()
+			switch answer.StatusCode {
+			case http.StatusOK:
+				outcome = "ok"
+			case http.StatusServiceUnavailable:
+				outcome = "denied"
+			case http.StatusInternalServerError:
+				outcome = "aborted"
+			default:
+				outcome = "error " + answer.Status
+			}
+		}
+	}
+	if err != nil {
+		keep(record.Lost, "")
+		return "lost", true, 0
+	}
+	keep(record.Answer, outcome)
+	return outcome, true, 0
+}
+
 func outcomeOf(code int) string {
 	switch code {
 	case 0:
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -59,6 +59,7 @@
 	Method   string  `a:"method" need:"yes"`
 	Share    float64 `a:"share" need:"yes" min:"0" max:"1"`
 	Customer string  `a:"customer"`
+	Front    string  `a:"front" def:"json-rpc" words:"json-rpc http"`
 }
 
 // Callers tells how clients behave.
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -9,6 +9,7 @@
 	"math/rand"
 	"slices"
 
+	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/turn"
@@ -632,7 +633,12 @@
 )
 
 // markOf reads the client's mark of one try from a payload: its member "mark", where it has one.
-func markOf(payload []byte) string { return member(payload, "mark") }
+func markOf(payload []byte) string {
+	if mark := member(payload, "mark"); mark != "" {
+		return mark
+	}
+	return member(jsonrpc.Member(payload, "parameters"), "mark") // an infer's
+}
 
 func requestRecord(j *Job, frontEnd string) record.Record {
 	return record.Record{Kind: record.Request, FrontEnd: frontEnd, RPC: j.Mark, Method: j.Method,
