A hand-over passes the second front's sockets, too

A successor bound the KServe sockets anew and failed while the old process held them. All listeners now go in one message, in the settings' order; another number of them than the successor's settings want is an error that changes nothing.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -81,6 +82,7 @@
 // front runs a front end of a name; the channel is closed once it has left.
 func (s *service) front(ctx context.Context, name string) <-chan struct{} {
 	f, err := settings.ReadFrontEnd(s.write(name+".xml", `<front-end name="`+name+`"><clients socket="%[1]s/`+name+`.sock" hand-over="%[1]s/`+name+`.next"/>
+<kserve socket="%[1]s/`+name+`.http" grpc-socket="%[1]s/`+name+`.grpc"><model name="m" method="query"/></kserve>
 <roster socket="%[1]s/roster.sock"/><service><method name="query" effect="idempotent" lanes="8" load-ms="5"/>
 <method name="slow" effect="side-effecting" load-ms="5" soft-deadline-ms="900"/></service></front-end>`))
 	if err != nil {
@@ -219,6 +221,11 @@
 	}
 	close(over)
 	clients.Wait()
+	if nc, err := net.Dial("unix", filepath.Join(s.dir, "a.http")); err != nil { // the second front came along
+		t.Error(err)
+	} else {
+		nc.Close()
+	}
 	stop()
 	<-left
 	if calls.Load() < 1200 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,39 +94,47 @@
 	if err != nil {
 		return f.Clients.Errorf("mode: %v", err)
 	}
-	listener, confirm, err := listen(f, os.FileMode(mode), log)
+	listener, more, confirm, err := listen(f, os.FileMode(mode), log)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, f, log, listener, confirm, ready, o)
+	return serve(ctx, f, log, listener, more, confirm, ready, o)
 }
 
 // listen gives the client socket: a service manager's, a predecessor's, or a new one. Confirm tells the predecessor
 // that this process serves; nil: there is none.
-func listen(f *settings.FrontEnd, mode os.FileMode, log zerolog.Logger) (l *net.UnixListener, confirm func() error,
-	err error) {
+func listen(f *settings.FrontEnd, mode os.FileMode, log zerolog.Logger) (l *net.UnixListener, more []handover.Listener,
+	confirm func() error, err error) {
 	if l, err = handover.Inherited(); err != nil || l != nil {
-		return l, nil, err
+		return l, nil, nil, err
 	}
 	if f.Clients.HandOver != "" {
-		l, confirm, err = handover.Take(f.Clients.HandOver)
+		var ls []handover.Listener
+		ls, confirm, err = handover.Take(f.Clients.HandOver)
 		if err == nil {
-			log.Info().Str("from", f.Clients.HandOver).Msg("client socket taken over")
-			return l, confirm, nil
+			u, is := ls[0].(*net.UnixListener)
+			if want := 1 + len(places(f)); !is || len(ls) != want {
+				for _, l := range ls {
+					l.Close()
+				}
+				return nil, nil, nil, fmt.Errorf("hand-over: the old process serves %d sockets, these settings %d", len(ls), want)
+			}
+			log.Info().Str("from", f.Clients.HandOver).Int("sockets", len(ls)).Msg("client sockets taken over")
+			return u, ls[1:], confirm, nil
 		}
 		if !errors.Is(err, os.ErrNotExist) && !errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, nil, fmt.Errorf("hand-over: %w", err)
+			return nil, nil, nil, fmt.Errorf("hand-over: %w", err)
 		}
 	}
 	made, err := clients.Listen(f.Clients.Socket, mode)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, nil, err
 	}
-	return made.(*net.UnixListener), nil, nil
+	return made.(*net.UnixListener), nil, nil, nil
 }
 
 func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener *net.UnixListener,
-	confirm func() error, ready func(), o Outgoing) error {
+	more []handover.Listener, confirm func() error, ready func(), o Outgoing) error {
 	loop := turn.NewLoop()
 	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
 		CallOff: f.Clients.CallOff,
@@ -170,7 +178,7 @@
 		}
 		return err
 	})
-	ks, err := serveKServe(rest, f, &restGroup, &frontGroup, loop, desk, fo, failed, log)
+	ks, more, err := serveKServe(rest, more, f, &restGroup, &frontGroup, loop, desk, fo, failed, log)
 	if err != nil {
 		failed <- err
 	}
@@ -181,7 +189,7 @@
 
 	var handed <-chan struct{}
 	if err == nil {
-		handed, err = handOver(rest, &restGroup, f, listener, confirm, fo.Told())
+		handed, err = handOver(rest, &restGroup, f, listener, more, confirm, fo.Told())
 	}
 	if err == nil {
 		select {
@@ -251,11 +259,12 @@
 }
 
 // serveKServe runs the second front, where the settings have one.
-func serveKServe(ctx context.Context, f *settings.FrontEnd, rest, group *errgroup.Group, loop *turn.Loop,
-	desk *front.Desk, fo *follow.Follower, failed chan<- error, log zerolog.Logger) (*kserve.Server, error) {
+func serveKServe(ctx context.Context, taken []handover.Listener, f *settings.FrontEnd, rest, group *errgroup.Group, loop *turn.Loop,
+	desk *front.Desk, fo *follow.Follower, failed chan<- error, log zerolog.Logger) (*kserve.Server,
+	[]handover.Listener, error) {
 	k := f.KServe
 	if k == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
 	o := kserve.Options{Name: f.Name, BodyBytes: k.BodyBytes, TimeHeader: k.TimeHeader,
 		CustomerHeader: k.CustomerHeader, TokenHeader: k.TokenHeader, Ready: fo.Ready, Log: log}
@@ -267,7 +276,7 @@
 	if k.TLS != nil {
 		store, err := keys.Open(keys.Files{Cert: k.TLS.Cert, Key: k.TLS.Key, ClientCA: k.TLS.ClientCA}, log)
 		if err != nil {
-			return nil, k.TLS.Errorf("%v", err)
+			return nil, nil, k.TLS.Errorf("%v", err)
 		}
 		rest.Go(func() error {
 			store.Watch(ctx, turn.Duration(k.TLS.Reload), time.Duration(k.TLS.WarnDays*24*float64(time.Hour)))
@@ -283,34 +292,54 @@
 	if o.Keys != nil {
 		http, grpc = s.ServeTLS, s.ServeGRPCTLS
 	}
-	for _, at := range []struct {
-		network, address string
-		serve            func(net.Listener) error
-	}{{"unix", k.Socket, s.Serve}, {"tcp", k.Address, http}, {"unix", k.GRPCSocket, s.ServeGRPC},
-		{"tcp", k.GRPCAddress, grpc}} {
-		if at.address == "" {
-			continue
-		}
-		var l net.Listener
-		var err error
-		if at.network == "unix" {
-			l, err = clients.Listen(at.address, 0o600)
-		} else {
-			l, err = net.Listen(at.network, at.address)
-		}
-		if err != nil {
-			return s, err
+	serves := map[string]func(net.Listener) error{"http unix": s.Serve, "http tcp": http, "grpc unix": s.ServeGRPC,
+		"grpc tcp": grpc}
+	ls := taken
+	for i, at := range places(f) {
+		if len(taken) == 0 {
+			var l net.Listener
+			var err error
+			if at.network == "unix" {
+				l, err = clients.Listen(at.address, 0o600)
+			} else {
+				l, err = net.Listen(at.network, at.address)
+			}
+			if err != nil {
+				return s, ls, err
+			}
+			ls = append(ls, l.(handover.Listener))
 		}
+		l, serve := ls[i], serves[at.front+" "+at.network]
 		log.Info().Str("address", l.Addr().String()).Msg("front end takes infers")
 		group.Go(func() error {
-			err := at.serve(l)
+			err := serve(l)
+			if errors.Is(err, net.ErrClosed) { // handed over
+				err = nil
+			}
 			if err != nil {
 				failed <- err
 			}
 			return err
 		})
 	}
-	return s, nil
+	return s, ls, nil
+}
+
+// place is a socket of the second front.
+type place struct{ front, network, address string }
+
+// places are the second front's, in the order in which they are handed over.
+func places(f *settings.FrontEnd) (out []place) {
+	if f.KServe == nil {
+		return nil
+	}
+	for _, p := range []place{{"http", "unix", f.KServe.Socket}, {"http", "tcp", f.KServe.Address},
+		{"grpc", "unix", f.KServe.GRPCSocket}, {"grpc", "tcp", f.KServe.GRPCAddress}} {
+		if p.address != "" {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 func metas(ts []settings.Tensor) (out []kserve.TensorMeta) {
@@ -323,7 +352,7 @@
 
 // handOver confirms to a predecessor, and offers the socket to a successor; the channel is closed once one has it.
 func handOver(ctx context.Context, group *errgroup.Group, f *settings.FrontEnd, listener *net.UnixListener,
-	confirm func() error, told <-chan struct{}) (<-chan struct{}, error) {
+	more []handover.Listener, confirm func() error, told <-chan struct{}) (<-chan struct{}, error) {
 	handed := make(chan struct{})
 	if confirm != nil {
 		select { // it takes over once it knows of workers, or when the roster does not say
@@ -333,7 +362,11 @@
 		if err := confirm(); err != nil {
 			return handed, fmt.Errorf("hand-over: %w", err)
 		}
-		listener.SetUnlinkOnClose(true) // the path is this process's now
+		for _, l := range append([]handover.Listener{listener}, more...) {
+			if u, is := l.(*net.UnixListener); is {
+				u.SetUnlinkOnClose(true) // the path is this process's now
+			}
+		}
 	}
 	if f.Clients.HandOver == "" {
 		return handed, nil
@@ -343,9 +376,14 @@
 		return handed, err
 	}
 	group.Go(func() error {
-		if handover.Offer(ctx, l, listener, func() {
-			listener.SetUnlinkOnClose(false)
-			listener.Close()
+		all := append([]handover.Listener{listener}, more...)
+		if handover.Offer(ctx, l, all, func() {
+			for _, l := range all {
+				if u, is := l.(*net.UnixListener); is {
+					u.SetUnlinkOnClose(false)
+				}
+				l.Close()
+			}
 		}) {
 			close(handed)
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,4 +1,4 @@
-// Package handover passes a listening socket from a process to its successor, so that no client is refused meanwhile,
+// Package handover passes listening sockets from a process to its successor, so that no client is refused meanwhile,
 // and takes one that a service manager opened before.
 //
 // The old process serves a second socket, which its own user alone may open. The successor connects there, gets the
@@ -25,10 +25,16 @@
 // patience bounds each step of a successor that is there.
 const patience = 10 * time.Second
 
-// Offer gives the listener to a successor that asks at l, until one has taken it or the context ends. Stop is called
+// Listener is one whose descriptor can be passed: a Unix or TCP listener.
+type Listener interface {
+	net.Listener
+	syscall.Conn
+}
+
+// Offer gives the listeners, in their order, to a successor that asks at l, until one has taken it or the context ends. Stop is called
 // in between: it ends this process's accepting, after which the successor is told. It reports whether one has taken
 // it. Offer closes l.
-func Offer(ctx context.Context, l net.Listener, listener *net.UnixListener, stop func()) bool {
+func Offer(ctx context.Context, l net.Listener, listeners []Listener, stop func()) bool {
 	end := context.AfterFunc(ctx, func() { l.Close() })
 	defer end()
 	defer l.Close()
@@ -37,7 +43,7 @@
 		if err != nil {
 			return false
 		}
-		if pass(ctx, nc.(*net.UnixConn), listener) == nil {
+		if pass(ctx, nc.(*net.UnixConn), listeners) == nil {
 			l.Close() // the path is the successor's now
 			stop()
 			_, _ = nc.Write([]byte{taken})
@@ -48,22 +54,25 @@
 	}
 }
 
-// pass sends the descriptor and waits for the successor's word.
-func pass(ctx context.Context, nc *net.UnixConn, listener *net.UnixListener) error {
+// pass sends the descriptors and waits for the successor's word.
+func pass(ctx context.Context, nc *net.UnixConn, listeners []Listener) error {
 	end := context.AfterFunc(ctx, func() { nc.Close() })
 	defer end()
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return err
+	var fds []int // theirs, for as long as they are open
+	for _, l := range listeners {
+		raw, err := l.SyscallConn()
+		if err != nil {
+			return err
+		}
+		if err := raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) }); err != nil {
+			return err
+		}
 	}
 	if err := nc.SetDeadline(time.Now().Add(patience)); err != nil {
 		return err
 	}
-	var sent error
-	if err := raw.Control(func(fd uintptr) {
-		_, _, sent = nc.WriteMsgUnix([]byte{0}, syscall.UnixRights(int(fd)), nil)
-	}); err != nil || sent != nil {
-		return errors.Join(err, sent)
+	if _, _, err := nc.WriteMsgUnix([]byte{0}, syscall.UnixRights(fds...), nil); err != nil {
+		return err
 	}
 	var word [1]byte
 	if _, err := nc.Read(word[:]); err != nil {
@@ -75,9 +84,12 @@
 	return nil
 }
 
-// Take asks the process at path for its listener. Confirm tells it that this one serves, and returns once the old
+// most is how many listeners a process may pass.
+const most = 16
+
+// Take asks the process at path for its listeners. Confirm tells it that this one serves, and returns once the old
 // one accepts no more. An error of kind os.ErrNotExist or ECONNREFUSED: nobody is there to ask.
-func Take(path string) (l *net.UnixListener, confirm func() error, err error) {
+func Take(path string) (ls []Listener, confirm func() error, err error) {
 	dialled, err := net.DialTimeout("unix", path, patience)
 	if err != nil {
 		return nil, nil, err
@@ -86,12 +98,15 @@
 	defer func() {
 		if err != nil {
 			nc.Close()
+			for _, l := range ls {
+				l.Close()
+			}
 		}
 	}()
 	if err = nc.SetDeadline(time.Now().Add(patience)); err != nil {
 		return nil, nil, err
 	}
-	body, rights := make([]byte, 1), make([]byte, syscall.CmsgSpace(4))
+	body, rights := make([]byte, 1), make([]byte, syscall.CmsgSpace(4*most))
 	_, n, _, _, err := nc.ReadMsgUnix(body, rights)
 	if err != nil {
 		return nil, nil, err
@@ -107,9 +122,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if l, err = fromFD(fds[0]); err != nil {
+	if len(fds) == 0 {
+		err = errors.New("hand-over: no descriptor came")
 		return nil, nil, err
 	}
+	for _, fd := range fds {
+		var l Listener
+		if l, err = fromFD(fd); err != nil {
+			return nil, nil, err
+		}
+		ls = append(ls, l)
+	}
 	confirm = func() error {
 		defer nc.Close()
 		if err := nc.SetDeadline(time.Now().Add(patience)); err != nil {
@@ -124,10 +147,10 @@
 		}
 		return nil
 	}
-	return l, confirm, nil
+	return ls, confirm, nil
 }
 
-func fromFD(fd int) (*net.UnixListener, error) {
+func fromFD(fd int) (Listener, error) {
 	syscall.CloseOnExec(fd)
 	file := os.NewFile(uintptr(fd), "listener")
 	defer file.Close()
@@ -135,12 +158,12 @@
 	if err != nil {
 		return nil, err
 	}
-	u, is := l.(*net.UnixListener)
+	passed, is := l.(Listener)
 	if !is {
 		l.Close()
-		return nil, fmt.Errorf("the descriptor passed is a %s, not a Unix listener", l.Addr().Network())
+		return nil, fmt.Errorf("the descriptor passed is a %s listener, which can't be passed on", l.Addr().Network())
 	}
-	return u, nil
+	return passed, nil
 }
 
 // firstInherited is the first descriptor that a service manager passes (sd_listen_fds(3)).
@@ -155,5 +178,14 @@
 	if n := os.Getenv("LISTEN_FDS"); n != "1" {
 		return nil, fmt.Errorf("LISTEN_FDS is %q: one socket is wanted, for the clients", n)
 	}
-	return fromFD(firstInherited)
+	l, err := fromFD(firstInherited)
+	if err != nil {
+		return nil, err
+	}
+	u, is := l.(*net.UnixListener)
+	if !is {
+		l.Close()
+		return nil, fmt.Errorf("the socket passed is a %s one: a Unix socket is wanted, for the clients", l.Addr().Network())
+	}
+	return u, nil
 }
