--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"mallowlanding/internal/jsonrpc/jsontest"
 	"mallowlanding/internal/settings"
 )
 
@@ -530,45 +530,5 @@
 		}
 		got = value
 	}
-	var g, w any
-	if err := json.Unmarshal([]byte(got), &g); err != nil {
-		return fmt.Errorf("got %s: %w", got, err)
-	}
-	if err := json.Unmarshal([]byte(want), &w); err != nil {
-		return fmt.Errorf("want %s: %w", want, err)
-	}
-	if !matches(g, w) {
-		return fmt.Errorf("got %s", got)
-	}
-	return nil
-}
-
-func matches(got, want any) bool {
-	switch w := want.(type) {
-	case string:
-		return w == "*" || got == want
-	case map[string]any:
-		g, is := got.(map[string]any)
-		if !is || len(g) != len(w) {
-			return false
-		}
-		for name := range w {
-			if v, has := g[name]; !has || !matches(v, w[name]) {
-				return false
-			}
-		}
-		return true
-	case []any:
-		g, is := got.([]any)
-		if !is || len(g) != len(w) {
-			return false
-		}
-		for i := range w {
-			if !matches(g[i], w[i]) {
-				return false
-			}
-		}
-		return true
-	}
-	return reflect.DeepEqual(got, want)
+	return jsontest.Same([]byte(got), []byte(want))
 }
--- a/internal/kserve/http_test.go
+++ b/internal/kserve/http_test.go
@@ -11,14 +11,12 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"reflect"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/go-json-experiment/json"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
@@ -27,6 +25,7 @@
 	grpcstatus "google.golang.org/grpc/status"
 
 	"mallowlanding/internal/gateway"
+	"mallowlanding/internal/jsonrpc/jsontest"
 	"mallowlanding/internal/keys/keystest"
 	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/record"
@@ -197,16 +196,9 @@
 				return fmt.Errorf("behind the JSON: %q", rest)
 			}
 		default:
-			var got, want any
-			if err := json.Unmarshal(body, &got); err != nil {
-				return fmt.Errorf("%q: %w", body, err)
-			}
-			if err := json.Unmarshal([]byte(value), &want); err != nil {
+			if err := jsontest.Same(body, []byte(value)); err != nil {
 				return err
 			}
-			if !matches(got, want) {
-				return fmt.Errorf("got %s", body)
-			}
 		}
 	}
 	return nil
@@ -379,33 +371,3 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
-
-func matches(got, want any) bool {
-	switch w := want.(type) {
-	case string:
-		return w == "*" || got == want
-	case map[string]any:
-		g, _ := got.(map[string]any)
-		if len(g) != len(w) {
-			return false
-		}
-		for name := range w {
-			if !matches(g[name], w[name]) {
-				return false
-			}
-		}
-		return true
-	case []any:
-		g, _ := got.([]any)
-		if len(g) != len(w) {
-			return false
-		}
-		for i := range w {
-			if !matches(g[i], w[i]) {
-				return false
-			}
-		}
-		return true
-	}
-	return reflect.DeepEqual(got, want)
-}
