A draining front end answers the infer that it holds, over gRPC

The issue asks for GOAWAY on drain to be held by a test: what runs when the front end is told to leave is answered ok, what comes then is UNAVAILABLE, and the worker saw one call-out.

--- a/internal/kserve/grpc_test.go
+++ b/internal/kserve/grpc_test.go
@@ -161,3 +161,28 @@
 		t.Errorf("it ran on for %v ms", last.Time)
 	}
 }
+
+// A front end that is told to leave answers the infer that it holds; what comes then is unavailable.
+func TestDrain(t *testing.T) {
+	dir, stop := startAndStop(t)
+	c := dial(t, dir)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	one := input("x", "FP32", &oip.InferTensorContents{Fp32Contents: []float32{1}}, 1)
+	held := make(chan error, 1)
+	go func() {
+		_, err := c.ModelInfer(ctx, &oip.ModelInferRequest{ModelName: "unsafe", Inputs: one})
+		held <- err
+	}()
+	time.Sleep(150 * time.Millisecond) // it runs
+	stop()
+	if err := <-held; err != nil {
+		t.Errorf("held when the front end was told to leave: %v", err)
+	}
+	if _, err := c.ModelInfer(ctx, &oip.ModelInferRequest{ModelName: "unsafe", Inputs: one}); status.Code(err) != codes.Unavailable {
+		t.Errorf("after that: %v", err)
+	}
+	if n := requests(t, dir, "unsafe/1"); n != 1 {
+		t.Errorf("%d call-outs", n)
+	}
+}
--- a/internal/kserve/http_test.go
+++ b/internal/kserve/http_test.go
@@ -38,13 +38,20 @@
 // start runs a roster, a stand-in worker with models, and a front end with both fronts; it returns the folder of
 // their sockets.
 func start(t *testing.T) string {
+	dir, _ := startAndStop(t)
+	return dir
+}
+
+// startAndStop is start; stop tells the front end alone to leave.
+func startAndStop(t *testing.T) (dir string, stop func()) {
 	dir, err := os.MkdirTemp("", "ml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	frontCtx, stop := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	t.Cleanup(func() { cancel(); running.Wait(); os.RemoveAll(dir) })
+	t.Cleanup(func() { stop(); cancel(); running.Wait(); os.RemoveAll(dir) })
 	run := func(serve func(ready func()) error) {
 		ready := make(chan struct{})
 		running.Add(1)
@@ -107,9 +114,9 @@
 	}
 	run(func(ready func()) error { return standin.Roster(ctx, rs, zerolog.Nop(), ready) })
 	run(func(ready func()) error { return standin.Worker(ctx, ws, 0, zerolog.Nop(), ready) })
-	run(func(ready func()) error { return gateway.Serve(ctx, fs, zerolog.Nop(), ready) })
+	run(func(ready func()) error { return gateway.Serve(frontCtx, fs, zerolog.Nop(), ready) })
 	time.Sleep(100 * time.Millisecond) // the list comes
-	return dir
+	return dir, stop
 }
 
 // Scenarios, each under a line of '== NAME':
