Peers share what they leave out; unused code and three copies of a dial go

Read over: eight peers each wrote the same empty batch methods, four stand-in servers the same two answers, three measures the same connection. jsonrpc.Singly, standin's server and measure's connect now stand once. Methods and a type that nobody called are gone.

--- a/client/client.go
+++ b/client/client.go
@@ -286,6 +286,7 @@
 
 // conn is one connection.
 type conn struct {
+	jsonrpc.Singly
 	nc net.Conn
 
 	writing sync.Mutex
@@ -376,12 +377,6 @@
 	}
 }
 
-// BatchBegins implements jsonrpc.Peer.
-func (k *conn) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (k *conn) BatchEnds() {}
-
 // Asked implements jsonrpc.Peer: front ends ask nothing.
 func (k *conn) Asked(jsonrpc.ID, string, []byte) {}
 
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -86,14 +86,6 @@
 	return none, nil
 }
 
-// Take gives what waits under a key.
-func (l *Lines[Key, Item]) Take(key Key) []Item {
-	if l.lines[key] == nil {
-		return nil
-	}
-	return l.take(key)
-}
-
 func (l *Lines[Key, Item]) take(key Key) []Item {
 	items := l.lines[key].items
 	delete(l.lines, key)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,12 +25,6 @@
 	c.Release(id)
 }
 
-// Open tells whether anything can still happen to the RPC.
-func (c *Core) Open(id router.RPCID) bool { return c.rpcs[id] != nil }
-
-// Size is the number of RPCs that something can still happen to.
-func (c *Core) Size() int { return len(c.rpcs) }
-
 // Left tells that the RPC's client is gone; an unknown RPC is passed over.
 func (c *Core) Left(now router.Time, id router.RPCID) {
 	if rpc := c.rpcs[id]; rpc != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -174,18 +174,13 @@
 }
 
 type peer struct {
+	jsonrpc.Singly
 	f    *Follower
 	acks chan uint64
 	told bool
 	err  error
 }
 
-// BatchBegins implements jsonrpc.Peer.
-func (p *peer) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (p *peer) BatchEnds() {}
-
 // Broken implements jsonrpc.Peer.
 func (p *peer) Broken(_ jsonrpc.ID, _ int, message string) {
 	p.err = errors.New("nonsense from the roster: " + message)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -150,9 +150,6 @@
 // Len is the number of RPCs open on the connection.
 func (c *Conn) Len() int { return len(c.open) }
 
-// Gone tells whether the connection has left.
-func (c *Conn) Gone() bool { return c.gone }
-
 // Leave tells that the client is gone: nothing is owed on this connection any more.
 func (c *Conn) Leave() {
 	c.gone = true
--- a/internal/jsonrpc/codec.go
+++ b/internal/jsonrpc/codec.go
@@ -18,7 +18,6 @@
 	InvalidRequest = -32600
 	MethodNotFound = -32601
 	InvalidParams  = -32602
-	InternalError  = -32603
 )
 
 // ID is a message's id as it came: a string, a number or null. An empty one is none: a notification.
@@ -40,6 +39,15 @@
 	Broken(id ID, code int, message string)
 }
 
+// Singly is for peers to embed to whom a batch is no more than its messages.
+type Singly struct{}
+
+// BatchBegins implements Peer.
+func (Singly) BatchBegins() {}
+
+// BatchEnds implements Peer.
+func (Singly) BatchEnds() {}
+
 // Decoder reads messages out of values. It keeps buffers and serves one goroutine.
 type Decoder struct {
 	in  bytes.Buffer
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -119,6 +119,7 @@
 
 // Caller asks over a Conn and passes answers on. Its Peer methods serve Conn.Serve.
 type Caller struct {
+	Singly
 	*Conn
 	mu    sync.Mutex
 	last  uint64
@@ -177,12 +178,6 @@
 	}
 }
 
-// BatchBegins implements Peer.
-func (c *Caller) BatchBegins() {}
-
-// BatchEnds implements Peer.
-func (c *Caller) BatchEnds() {}
-
 // Broken implements Peer.
 func (c *Caller) Broken(ID, int, string) { c.Close() }
 
--- a/internal/jsonrpc/framing.go
+++ b/internal/jsonrpc/framing.go
@@ -41,9 +41,6 @@
 // Rest is the stream behind what was taken off it, for a codec that follows.
 func (r *Reader) Rest() io.Reader { return r.b }
 
-// Buffered tells whether more has been read from the stream than was taken off it.
-func (r *Reader) Buffered() bool { return r.b.Buffered() > 0 }
-
 // Next returns the next value's bytes, good until the next call. At a clean end it returns io.EOF, within a value
 // io.ErrUnexpectedEOF, and ErrTooLarge for a value that was passed over. Any other error ends the stream.
 func (r *Reader) Next() ([]byte, error) {
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -618,6 +618,7 @@
 
 // peer reads one connection.
 type peer struct {
+	jsonrpc.Singly
 	l      *Link
 	nc     net.Conn
 	st     *stream
@@ -626,12 +627,6 @@
 	err    error
 }
 
-// BatchBegins implements jsonrpc.Peer.
-func (p *peer) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (p *peer) BatchEnds() {}
-
 // Broken implements jsonrpc.Peer: what comes after nonsense can't be trusted.
 func (p *peer) Broken(_ jsonrpc.ID, _ int, message string) {
 	p.err = fmt.Errorf("nonsense from worker %s: %s", p.l.name, message)
--- a/internal/measure/batching.go
+++ b/internal/measure/batching.go
@@ -4,15 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"golang.org/x/sync/errgroup"
-
-	"mallowlanding/internal/jsonrpc"
 )
 
 // softMs is the soft deadline of the batching measure, in ms.
@@ -56,12 +53,10 @@
 		return append(strconv.AppendInt([]byte(`{"function":"f`), int64(f), 10), `"}`...)
 	}}
 	for range 4 {
-		nc, err := net.Dial("unix", filepath.Join(dir, "front.sock"))
+		c, err := connect(ctx, &conns, filepath.Join(dir, "front.sock"))
 		if err != nil {
 			return err
 		}
-		c := jsonrpc.NewCaller(nc, valueLimit)
-		conns.Go(func() error { _ = c.Run(ctx); return nil })
 		y.conns = append(y.conns, c)
 	}
 	y.warm(ctx, o)
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -54,15 +53,7 @@
 	if err := start(ctx, &procs, exe, dir, o, fmt.Sprintf(`held="%d"`, held), ""); err != nil {
 		return r, 0, err
 	}
-	dial := func() (*jsonrpc.Caller, error) {
-		nc, err := net.Dial("unix", filepath.Join(dir, "front.sock"))
-		if err != nil {
-			return nil, err
-		}
-		c := jsonrpc.NewCaller(nc, valueLimit)
-		conns.Go(func() error { _ = c.Run(ctx); return nil })
-		return c, nil
-	}
+	dial := func() (*jsonrpc.Caller, error) { return connect(ctx, &conns, filepath.Join(dir, "front.sock")) }
 	neighbour, err := dial()
 	if err != nil {
 		return r, 0, err
--- a/internal/measure/fronts.go
+++ b/internal/measure/fronts.go
@@ -20,7 +20,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
-	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/kserve/oip"
 )
 
@@ -109,12 +108,10 @@
 }
 
 func jsonFront(ctx context.Context, conns *errgroup.Group, dir string, raw []byte) (func() error, func(), error) {
-	nc, err := net.Dial("unix", filepath.Join(dir, "front.sock"))
+	c, err := connect(ctx, conns, filepath.Join(dir, "front.sock"))
 	if err != nil {
 		return nil, nil, err
 	}
-	c := jsonrpc.NewCaller(nc, valueLimit)
-	conns.Go(func() error { _ = c.Run(ctx); return nil })
 	b := strconv.AppendInt([]byte(`{"function":"f0","payload":{"model":"identity","inputs":[{"name":"x","datatype":"UINT8","shape":[`), int64(len(raw)), 10)
 	b = base64.StdEncoding.AppendEncode(append(b, `],"raw":"`...), raw)
 	params := append(b, `"}]}}`...)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -71,18 +71,9 @@
 		payload = append(payload, 'x')
 	}
 	payload = append(payload, '"')
-	var conns sync.WaitGroup
-	dial := func(socket string) (*jsonrpc.Caller, error) {
-		nc, err := net.Dial("unix", socket)
-		if err != nil {
-			return nil, err
-		}
-		c := jsonrpc.NewCaller(nc, valueLimit)
-		conns.Add(1)
-		go func() { defer conns.Done(); _ = c.Run(ctx) }()
-		return c, nil
-	}
-	defer func() { end(); conns.Wait() }()
+	var conns errgroup.Group
+	dial := func(socket string) (*jsonrpc.Caller, error) { return connect(ctx, &conns, socket) }
+	defer func() { end(); _ = conns.Wait() }()
 	front := way{name: "through the front end", method: "query", params: func(f int) []byte {
 		b := strconv.AppendInt([]byte(`{"function":"f`), int64(f), 10)
 		return append(append(append(b, `","payload":`...), payload...), '}')
@@ -169,6 +160,17 @@
 	}
 }
 
+// connect dials a socket; the caller's reader runs in the group until the context ends.
+func connect(ctx context.Context, conns *errgroup.Group, socket string) (*jsonrpc.Caller, error) {
+	nc, err := net.Dial("unix", socket)
+	if err != nil {
+		return nil, err
+	}
+	c := jsonrpc.NewCaller(nc, valueLimit)
+	conns.Go(func() error { _ = c.Run(ctx); return nil })
+	return c, nil
+}
+
 // closed keeps n RPCs at work, each sent once the one before it is answered.
 func (y way) closed(ctx context.Context, n int, span time.Duration, o Options) result {
 	var mu sync.Mutex
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -77,9 +77,6 @@
 	return c
 }
 
-// errUnreached: the front end could not be reached, so nothing was sent.
-type errUnreached struct{ error }
-
 // get gives a connection, made anew where it broke.
 func (p *pool) get(ctx context.Context) (*jsonrpc.Caller, error) {
 	p.mu.Lock()
@@ -99,7 +96,7 @@
 func (p *pool) dial(ctx context.Context) (*jsonrpc.Caller, error) {
 	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", p.c.fleet.socket(p.i))
 	if err != nil {
-		return nil, errUnreached{err}
+		return nil, err
 	}
 	c := jsonrpc.NewCaller(nc, 1<<24)
 	c.Watch = true
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -142,9 +142,6 @@
 	return 1
 }
 
-// Fallen tells whether the worker was pushed over; it stays down.
-func (m *Model) Fallen() bool { return m.fallen }
-
 // Jobs is the number of RPCs that it holds.
 func (m *Model) Jobs() int { return m.jobs }
 
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -78,7 +78,7 @@
 	group.Go(func() error { r.loop.Run(ctx, r); return nil })
 	group.Go(func() error {
 		return accept(ctx, l, func(ctx context.Context, nc net.Conn) {
-			c := &rosterConn{r: r, c: jsonrpc.NewConn(nc, valueLimit)}
+			c := &rosterConn{r: r, server: server{c: jsonrpc.NewConn(nc, valueLimit)}}
 			_ = c.c.Serve(ctx, c)
 			r.loop.Post(c.gone)
 		})
@@ -91,26 +91,12 @@
 }
 
 type rosterConn struct {
+	server
 	r        *roster
-	c        *jsonrpc.Conn
 	frontEnd string   // a watcher's name
 	workers  []string // that joined here
 }
 
-// BatchBegins implements jsonrpc.Peer.
-func (c *rosterConn) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (c *rosterConn) BatchEnds() {}
-
-// Answered implements jsonrpc.Peer.
-func (c *rosterConn) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
-
-// Broken implements jsonrpc.Peer.
-func (c *rosterConn) Broken(id jsonrpc.ID, code int, message string) {
-	c.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
-}
-
 // Asked implements jsonrpc.Peer.
 func (c *rosterConn) Asked(_ jsonrpc.ID, method string, params []byte) {
 	params = bytes.Clone(params)
@@ -237,7 +223,7 @@
 	group.Go(func() error { s.loop.Run(ctx, s); return nil })
 	group.Go(func() error {
 		return accept(ctx, l, func(ctx context.Context, nc net.Conn) {
-			c := &storeConn{s: s, c: jsonrpc.NewConn(nc, valueLimit)}
+			c := &storeConn{s: s, server: server{c: jsonrpc.NewConn(nc, valueLimit)}}
 			_ = c.c.Serve(ctx, c)
 		})
 	})
@@ -245,22 +231,8 @@
 }
 
 type storeConn struct {
+	server
 	s *store
-	c *jsonrpc.Conn
-}
-
-// BatchBegins implements jsonrpc.Peer.
-func (c *storeConn) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (c *storeConn) BatchEnds() {}
-
-// Answered implements jsonrpc.Peer.
-func (c *storeConn) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
-
-// Broken implements jsonrpc.Peer.
-func (c *storeConn) Broken(id jsonrpc.ID, code int, message string) {
-	c.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
 }
 
 // Asked implements jsonrpc.Peer.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -217,17 +217,31 @@
 	})
 }
 
+// server is one who is asked on a connection, and asks nothing.
+type server struct {
+	jsonrpc.Singly
+	c *jsonrpc.Conn
+}
+
+// Broken implements jsonrpc.Peer.
+func (s *server) Broken(id jsonrpc.ID, code int, message string) {
+	s.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
+}
+
+// Answered implements jsonrpc.Peer.
+func (s *server) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
+
 // host is a front end's connection.
 type host struct {
+	server
 	w      *worker
-	c      *jsonrpc.Conn
 	name   string          // the front end's; the reader's
 	binary atomic.Bool     // frames both ways
 	jobs   map[string]*Job // the loop's
 }
 
 func (w *worker) serve(ctx context.Context, nc net.Conn) {
-	h := &host{w: w, c: jsonrpc.NewConn(nc, valueLimit), jobs: map[string]*Job{}}
+	h := &host{w: w, server: server{c: jsonrpc.NewConn(nc, valueLimit)}, jobs: map[string]*Job{}}
 	h.c.Codec = func() func(io.Reader) error {
 		if !h.binary.Load() {
 			return nil
@@ -245,20 +259,6 @@
 	w.mu.Unlock()
 }
 
-// BatchBegins implements jsonrpc.Peer.
-func (h *host) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (h *host) BatchEnds() {}
-
-// Broken implements jsonrpc.Peer.
-func (h *host) Broken(id jsonrpc.ID, code int, message string) {
-	h.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
-}
-
-// Answered implements jsonrpc.Peer.
-func (h *host) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
-
 // Asked implements jsonrpc.Peer.
 func (h *host) Asked(id jsonrpc.ID, method string, params []byte) {
 	var blob []byte
@@ -536,26 +536,12 @@
 // control takes faults on command.
 func (w *worker) control(ctx context.Context, nc net.Conn) {
 	c := jsonrpc.NewConn(nc, valueLimit)
-	_ = c.Serve(ctx, &control{w: w, c: c})
+	_ = c.Serve(ctx, &control{w: w, server: server{c: c}})
 }
 
 type control struct {
+	server
 	w *worker
-	c *jsonrpc.Conn
-}
-
-// BatchBegins implements jsonrpc.Peer.
-func (c *control) BatchBegins() {}
-
-// BatchEnds implements jsonrpc.Peer.
-func (c *control) BatchEnds() {}
-
-// Answered implements jsonrpc.Peer.
-func (c *control) Answered(jsonrpc.ID, []byte, int, string, []byte) {}
-
-// Broken implements jsonrpc.Peer.
-func (c *control) Broken(id jsonrpc.ID, code int, message string) {
-	c.c.Write(jsonrpc.AppendError(nil, id, code, message, nil))
 }
 
 // Asked implements jsonrpc.Peer.
