Readiness shows halted loads; gRPC joins the rehearsal; bytes an RPC for each front

A model was told ready while its loads were halted, rehearsals spoke no gRPC, and nobody knew what an RPC costs each front in memory. The module answers Halted, which decides nothing; methods bound their payloads; rpc.status tells what the process uses; gRPC parameters reach workers, which they did not. A stream reset amid a batch is tested.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -345,6 +345,12 @@
 		c.askedToCancel(p, raw)
 		return
 	}
+	if method == "rpc.status" && c.s.o.Status != nil {
+		c.s.loop.Post(func() {
+			p.answer(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, c.s.o.Status()) })
+		})
+		return
+	}
 	if !known {
 		p.fail(jsonrpc.MethodNotFound, fmt.Sprintf("no method %.80q", method))
 		return
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -46,6 +46,7 @@
 	Limits Limits
 	Answer func(value []byte) []byte // changes an answer as it leaves; nil: it goes as it is
 	Allow  access.List               // none: every peer that can open the socket
+	Status func() []byte             // in a turn: what rpc.status answers; nil: it is no method
 	Log    zerolog.Logger
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -53,6 +53,7 @@
 	Batch    int         // so many of one function may ride one call-out to a worker; 1: none do
 	Wait     router.Time // for so long they may wait for each other
 	Deadline router.Time
+	Bytes    int64 // of one RPC's payload; 0: no bound of its own
 }
 
 // Function is what the settings tell of a loaded copy of a function.
@@ -118,8 +119,16 @@
 
 // Counts are an engine's sums since it began.
 type Counts struct {
-	Taken, OK, Denied, Aborted, Left, CallOuts, Orders, Checks, Turns uint64
-	Open                                                              int // taken and not yet answered
+	Taken    uint64 `json:"taken"`
+	OK       uint64 `json:"ok"`
+	Denied   uint64 `json:"denied"`
+	Aborted  uint64 `json:"aborted"`
+	Left     uint64 `json:"left"`
+	CallOuts uint64 `json:"call_outs"`
+	Orders   uint64 `json:"load_orders"`
+	Checks   uint64 `json:"checks"`
+	Turns    uint64 `json:"turns"`
+	Open     int    `json:"open"` // taken and not yet answered
 }
 
 // Engine runs one front end.
@@ -238,6 +247,9 @@
 	return known.name, is && known.name != function
 }
 
+// Halted tells whether loads of a function are halted and no copy of it is believed to stand; see router.Router.
+func (e *Engine) Halted(function string) bool { return e.core.Halted(ident.Function(function)) }
+
 // Left tells that the client is gone: nothing is owed any more. What is out is called off, and what it alone wanted.
 func (p *RPC) Left() {
 	if p.closed {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -91,6 +91,8 @@
 	m := &d.o.Methods[p.Method]
 	_, knownCustomer := d.customers[p.Customer]
 	switch {
+	case m.Bytes > 0 && int64(len(p.Payload)+len(p.Blob)) > m.Bytes:
+		return fmt.Errorf("payload of %d bytes, method %q takes %d", len(p.Payload)+len(p.Blob), m.Name, m.Bytes)
 	case p.Function == "":
 		return errors.New(`"function" is missing or empty`)
 	case m.Effect == router.Tokened && p.Token == "":
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,7 @@
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
 			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
-		Answer: o.Answer, Allow: allow(f), Log: log})
+		Answer: o.Answer, Allow: allow(f), Status: func() []byte { return status(f, e, desk) }, Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
 	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, desk, srv}); return nil })
@@ -178,7 +178,7 @@
 		}
 		return err
 	})
-	ks, more, err := serveKServe(rest, more, f, &restGroup, &frontGroup, loop, desk, fo, failed, log)
+	ks, more, err := serveKServe(rest, more, f, &restGroup, &frontGroup, loop, desk, e, fo, failed, log)
 	if err != nil {
 		failed <- err
 	}
@@ -260,14 +260,14 @@
 
 // serveKServe runs the second front, where the settings have one.
 func serveKServe(ctx context.Context, taken []handover.Listener, f *settings.FrontEnd, rest, group *errgroup.Group, loop *turn.Loop,
-	desk *front.Desk, fo *follow.Follower, failed chan<- error, log zerolog.Logger) (*kserve.Server,
+	desk *front.Desk, e *engine.Engine, fo *follow.Follower, failed chan<- error, log zerolog.Logger) (*kserve.Server,
 	[]handover.Listener, error) {
 	k := f.KServe
 	if k == nil {
 		return nil, nil, nil
 	}
 	o := kserve.Options{Name: f.Name, BodyBytes: k.BodyBytes, TimeHeader: k.TimeHeader,
-		CustomerHeader: k.CustomerHeader, TokenHeader: k.TokenHeader, Ready: fo.Ready, Log: log}
+		CustomerHeader: k.CustomerHeader, TokenHeader: k.TokenHeader, Ready: fo.Ready, Halted: e.Halted, Log: log}
 	for i := range k.Models {
 		m := &k.Models[i]
 		o.Models = append(o.Models, kserve.Model{Name: m.Name, Version: m.Version, Platform: m.Platform,
--- a/internal/kserve/grpc.go
+++ b/internal/kserve/grpc.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -18,6 +20,7 @@
 	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"mallowlanding/internal/front"
@@ -33,7 +36,8 @@
 	s *Server
 }
 
-// newGRPC makes the gRPC server: a message over the bound is refused by its length, before it is read.
+// newGRPC makes the gRPC server: a message over the bound is refused by its length, before it is read. A method's own
+// bound is known only once the message is: it is refused then.
 func newGRPC(s *Server, more ...grpc.ServerOption) *grpc.Server {
 	g := grpc.NewServer(append(more, grpc.MaxRecvMsgSize(int(s.o.BodyBytes)), grpc.StatsHandler(connStats{s}))...)
 	oip.RegisterGRPCInferenceServiceServer(g, &grpcFront{s: s})
@@ -79,15 +83,16 @@
 
 // ServerReady implements the service.
 func (g *grpcFront) ServerReady(context.Context, *oip.ServerReadyRequest) (*oip.ServerReadyResponse, error) {
-	return &oip.ServerReadyResponse{Ready: g.s.isReady()}, nil
+	return &oip.ServerReadyResponse{Ready: g.s.isReady(nil)}, nil
 }
 
 // ModelReady implements the service.
 func (g *grpcFront) ModelReady(_ context.Context, r *oip.ModelReadyRequest) (*oip.ModelReadyResponse, error) {
-	if _, err := g.s.find(r.Name, r.Version); err != nil {
+	m, err := g.s.find(r.Name, r.Version)
+	if err != nil {
 		return nil, status.Error(codes.NotFound, err.Error())
 	}
-	return &oip.ModelReadyResponse{Ready: g.s.isReady()}, nil
+	return &oip.ModelReadyResponse{Ready: g.s.isReady(m)}, nil
 }
 
 // ServerMetadata implements the service.
@@ -128,6 +133,15 @@
 		p.Time = max(0, float64(time.Until(deadline))/float64(time.Millisecond))
 	}
 	md, _ := metadata.FromIncomingContext(ctx)
+	if v := md.Get(strings.ToLower(s.o.TimeHeader)); len(v) > 0 { // as over HTTP; the shorter one holds
+		ms, err := readTime(v[0])
+		if err != nil {
+			return nil, status.Errorf(codes.InvalidArgument, "%s: %v", s.o.TimeHeader, err)
+		}
+		if p.Time < 0 || ms < p.Time {
+			p.Time = ms
+		}
+	}
 	for name, to := range map[string]*string{s.o.CustomerHeader: &p.Customer, s.o.TokenHeader: &p.Token} {
 		if v := md.Get(strings.ToLower(name)); len(v) > 0 {
 			*to = v[0]
@@ -146,6 +160,9 @@
 	if err != nil {
 		return nil, status.Error(codes.PermissionDenied, err.Error())
 	}
+	if most := s.desk.MethodAt(m.Method).Bytes; most > 0 && int64(proto.Size(r)) > most {
+		return nil, status.Errorf(codes.ResourceExhausted, "a message of %d bytes, %d are taken", proto.Size(r), most)
+	}
 	in, err := fromProto(r)
 	if err == nil {
 		err = m.check(&in)
@@ -190,6 +207,9 @@
 	if len(r.Inputs) == 0 {
 		return in, fmt.Errorf("no inputs")
 	}
+	if in.parameters, err = parametersOf(r.Parameters); err != nil {
+		return in, err
+	}
 	for i, input := range r.Inputs {
 		t := tensor.Tensor{Name: input.Name, Datatype: input.Datatype, Shape: input.Shape}
 		if in.binary {
@@ -213,6 +233,35 @@
 	return in, nil
 }
 
+// parametersOf gives parameters as the JSON that the other form has; nil: there are none.
+func parametersOf(ps map[string]*oip.InferParameter) (jsontext.Value, error) {
+	if len(ps) == 0 {
+		return nil, nil
+	}
+	values := map[string]any{}
+	for name, p := range ps {
+		switch c := p.GetParameterChoice().(type) {
+		case *oip.InferParameter_BoolParam:
+			values[name] = c.BoolParam
+		case *oip.InferParameter_Int64Param:
+			values[name] = c.Int64Param
+		case *oip.InferParameter_StringParam:
+			values[name] = c.StringParam
+		case *oip.InferParameter_DoubleParam:
+			values[name] = c.DoubleParam
+		case *oip.InferParameter_Uint64Param:
+			values[name] = c.Uint64Param
+		default:
+			return nil, fmt.Errorf("parameter %q has no value", name)
+		}
+	}
+	b, err := json.Marshal(values, json.Deterministic(true))
+	if err != nil { // not a number
+		return nil, fmt.Errorf("parameters: %w", err)
+	}
+	return b, nil
+}
+
 // rawOf gives typed contents as bytes; the fields are the specification's for each datatype.
 func rawOf(datatype string, c *oip.InferTensorContents) (raw []byte, err error) {
 	le := binary.LittleEndian
--- a/internal/kserve/grpc_test.go
+++ b/internal/kserve/grpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/record"
 )
@@ -106,6 +108,10 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	small := &oip.ModelInferRequest{ModelName: "small", Inputs: input("x", "UINT8", nil, 400), RawInputContents: [][]byte{make([]byte, 400)}}
+	if _, err := c.ModelInfer(ctx, small); status.Code(err) != codes.ResourceExhausted || !strings.Contains(err.Error(), "300 are taken") {
+		t.Errorf("too large for its method: %v", err)
+	}
 	large := &oip.ModelInferRequest{ModelName: "identity", Inputs: input("x", "UINT8", nil, 5000), RawInputContents: [][]byte{make([]byte, 5000)}}
 	if _, err := c.ModelInfer(ctx, large); status.Code(err) != codes.ResourceExhausted {
 		t.Errorf("too large: %v", err)
@@ -186,3 +192,103 @@
 		t.Errorf("%d call-outs", n)
 	}
 }
+
+// Of three infers that ride one call-out one resets its stream and one loses its connection; the third has its answer,
+// and nothing runs twice.
+func TestResetAmidABatch(t *testing.T) {
+	dir := start(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ask := func(ctx context.Context, c oip.GRPCInferenceServiceClient, v int32) (*oip.ModelInferResponse, error) {
+		return c.ModelInfer(ctx, &oip.ModelInferRequest{ModelName: "together",
+			Inputs: input("x", "INT32", &oip.InferTensorContents{IntContents: []int32{v}}, 1)})
+	}
+	stays, resets := dial(t, dir), dial(t, dir)
+	goes, err := grpc.NewClient("unix:"+filepath.Join(dir, "grpc.sock"), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []oip.GRPCInferenceServiceClient{stays, resets, oip.NewGRPCInferenceServiceClient(goes)} {
+		if _, err := ask(ctx, c, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := requests(t, dir, "together/1")
+	resetting, reset := context.WithCancel(ctx)
+	defer reset()
+	type got struct {
+		r   *oip.ModelInferResponse
+		err error
+	}
+	answers := [3]chan got{make(chan got, 1), make(chan got, 1), make(chan got, 1)}
+	for i, c := range []oip.GRPCInferenceServiceClient{stays, resets, oip.NewGRPCInferenceServiceClient(goes)} {
+		in := ctx
+		if i == 1 {
+			in = resetting
+		}
+		go func() { r, err := ask(in, c, int32(i+7)); answers[i] <- got{r, err} }()
+	}
+	for until := time.Now().Add(5 * time.Second); requests(t, dir, "together/1") == before && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	reset() // the batch runs, for 60 ms at the least
+	goes.Close()
+	if a := <-answers[0]; a.err != nil || string(a.r.RawOutputContents[0]) != "\x07\x00\x00\x00" {
+		t.Errorf("the one that stays: %v, %v", a.r, a.err)
+	}
+	for i := 1; i < 3; i++ {
+		if a := <-answers[i]; status.Code(a.err) != codes.Canceled {
+			t.Errorf("%d: %v", i, a.err)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if n := requests(t, dir, "together/1") - before; n != 3 {
+		t.Errorf("%d RPCs at the worker, want 3", n)
+	}
+}
+
+// While loads of a model are halted it is not ready; others are, and it is again once it loads.
+func TestReadyInHalt(t *testing.T) {
+	dir := start(t)
+	c := dial(t, dir)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	nc, err := net.Dial("unix", filepath.Join(dir, "control.sock"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	faults, ended := jsonrpc.NewCaller(nc, 1<<16), make(chan struct{})
+	go func() { defer close(ended); _ = faults.Run(ctx) }()
+	defer func() { faults.Close(); <-ended }()
+	fail := func(ms string) {
+		if a := faults.Call(ctx, "fault.load_fails", []byte(`{"size":1,"for_ms":`+ms+`}`)); a.Err != nil || a.Code != 0 {
+			t.Fatal(a)
+		}
+	}
+	ready := func(model string) bool {
+		r, err := c.ModelReady(ctx, &oip.ModelReadyRequest{Name: model})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Ready
+	}
+	infer := func() error {
+		_, err := c.ModelInfer(ctx, &oip.ModelInferRequest{ModelName: "fails", Inputs: input("x", "INT32", &oip.InferTensorContents{IntContents: []int32{1}}, 1)})
+		return err
+	}
+	fail("60000")
+	for ready("fails") {
+		if err := infer(); err == nil {
+			t.Fatal("ok, though no load can be")
+		}
+	}
+	if !ready("sum") {
+		t.Error("another model is not ready")
+	}
+	fail("0")
+	for infer() != nil && ctx.Err() == nil {
+	}
+	if !ready("fails") {
+		t.Error("not ready, though it loads again")
+	}
+}
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -49,7 +49,8 @@
 	TimeHeader, CustomerHeader, TokenHeader string
 	Keys                                    *keys.Store // of ServeTLS and ServeGRPCTLS; nil: they are not used
 	Clients                                 []keys.Client
-	Ready                                   func() bool // in a turn: RPCs are taken, and somebody could run them
+	Ready                                   func() bool                // in a turn: RPCs are taken, and somebody could run them
+	Halted                                  func(function string) bool // in a turn: loads of it are halted, and no copy stands
 	Log                                     zerolog.Logger
 }
 
@@ -176,30 +177,40 @@
 	}
 }
 
-func write(w http.ResponseWriter, status int, body []byte) {
+func write(w http.ResponseWriter, status int, body []byte, tail ...[]byte) {
 	if w.Header().Get("Content-Type") == "" {
 		w.Header().Set("Content-Type", "application/json")
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	n := len(body)
+	for _, part := range tail {
+		n += len(part)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(n))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
+	for _, part := range tail {
+		_, _ = w.Write(part)
+	}
 }
 
 func fail(w http.ResponseWriter, status int, message string) {
 	write(w, status, append(jsonrpc.AppendText([]byte(`{"error":`), message), '}'))
 }
 
-// isReady asks in a turn.
-func (s *Server) isReady() bool {
+// isReady asks in a turn; of a model, too, unless it is nil.
+func (s *Server) isReady(m *Model) bool {
 	got := make(chan bool, 1)
-	if !s.loop.Post(func() { got <- !s.desk.Stopping() && (s.o.Ready == nil || s.o.Ready()) }) {
+	if !s.loop.Post(func() {
+		got <- !s.desk.Stopping() && (s.o.Ready == nil || s.o.Ready()) &&
+			(m == nil || s.o.Halted == nil || !s.o.Halted(m.Function))
+	}) {
 		return false
 	}
 	return <-got
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.isReady() {
+	if s.isReady(nil) {
 		write(w, 200, []byte(`{"ready":true}`))
 		return
 	}
@@ -239,7 +250,7 @@
 	if m == nil {
 		return
 	}
-	ready, status := s.isReady(), 200
+	ready, status := s.isReady(m), 200
 	if !ready {
 		status = http.StatusServiceUnavailable
 	}
@@ -380,15 +391,38 @@
 	}
 }
 
+// readBody reads a body into one piece of memory of its size, where that was told.
+func readBody(from io.Reader, told int64) ([]byte, error) {
+	if told < 0 {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, told)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// readTime reads a time in ms of a header.
+func readTime(text string) (float64, error) {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms < 0 || math.IsInf(ms, 0) || math.IsNaN(ms) {
+		return 0, fmt.Errorf("must be a time in ms, not %.40q", text)
+	}
+	return ms, nil
+}
+
 func (s *Server) infer(w http.ResponseWriter, r *http.Request) {
 	came := time.Now()
 	m := s.model(w, r)
 	if m == nil {
 		return
 	}
-	if r.ContentLength > s.o.BodyBytes {
+	most := s.o.BodyBytes
+	if bound := s.desk.MethodAt(m.Method).Bytes; bound > 0 {
+		most = min(most, bound)
+	}
+	if r.ContentLength > most {
 		w.Header().Set("Connection", "close")
-		fail(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of %d bytes, %d are taken", r.ContentLength, s.o.BodyBytes))
+		fail(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of %d bytes, %d are taken", r.ContentLength, most))
 		return
 	}
 	p := front.Params{Method: m.Method, Function: m.Function, Time: -1,
@@ -402,12 +436,10 @@
 		return
 	}
 	if text := r.Header.Get(s.o.TimeHeader); text != "" {
-		ms, err := strconv.ParseFloat(text, 64)
-		if err != nil || ms < 0 || math.IsInf(ms, 0) || math.IsNaN(ms) {
-			fail(w, http.StatusBadRequest, fmt.Sprintf("header %s must be a time in ms, not %.40q", s.o.TimeHeader, text))
+		if p.Time, err = readTime(text); err != nil {
+			fail(w, http.StatusBadRequest, fmt.Sprintf("header %s %v", s.o.TimeHeader, err))
 			return
 		}
-		p.Time = ms
 	}
 	head := -1
 	if text := r.Header.Get("Inference-Header-Content-Length"); text != "" {
@@ -418,7 +450,7 @@
 		}
 		head = int(n)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.o.BodyBytes))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	if err != nil {
 		status := http.StatusBadRequest
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
@@ -456,14 +488,14 @@
 		fail(w, http.StatusBadRequest, o.message)
 		return
 	}
-	out, head, err := in.answer(m.Name, m.Version, o.value, o.blob)
+	out, tail, err := in.answer(m.Name, m.Version, o.value, o.blob)
 	if err != nil { // it ran: a client must not take this for a denial
 		fail(w, http.StatusInternalServerError, err.Error())
 		return
 	}
-	if head > 0 {
-		w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(head))
+	if tail != nil {
+		w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(len(out)))
 		w.Header().Set("Content-Type", "application/octet-stream")
 	}
-	write(w, 200, out)
+	write(w, 200, out, tail...)
 }
--- a/internal/kserve/infer.go
+++ b/internal/kserve/infer.go
@@ -148,11 +148,11 @@
 	return chosen, binary, nil
 }
 
-// answer is the response's body, and the length of its JSON where bytes follow; 0: none do.
-func (in *infer) answer(model, version string, value, blob []byte) (body []byte, head int, err error) {
+// answer is the response's JSON, and the tensors' bytes that follow it, as they came; nil: none do.
+func (in *infer) answer(model, version string, value, blob []byte) (body []byte, tail [][]byte, err error) {
 	chosen, how, err := in.choose(model, value, blob)
 	if err != nil {
-		return nil, 0, err
+		return nil, nil, err
 	}
 	b := jsonrpc.AppendText([]byte(`{"model_name":`), model)
 	b = jsonrpc.AppendText(append(b, `,"model_version":`...), version)
@@ -160,7 +160,6 @@
 		b = jsonrpc.AppendText(append(b, `,"id":`...), in.id)
 	}
 	b = append(b, `,"outputs":[`...)
-	var tail []byte
 	for i, o := range chosen {
 		if i > 0 {
 			b = append(b, ',')
@@ -171,18 +170,13 @@
 		if how[i] {
 			b = strconv.AppendInt(append(b, `,"parameters":{"binary_data_size":`...), int64(len(o.Raw)), 10)
 			b = append(b, "}}"...)
-			tail = append(tail, o.Raw...)
-			head = -1
+			tail = append(tail, o.Raw)
 			continue
 		}
 		if b, err = o.AppendJSON(append(b, `,"data":`...)); err != nil {
-			return nil, 0, err
+			return nil, nil, err
 		}
 		b = append(b, '}')
 	}
-	b = append(b, "]}"...)
-	if head < 0 {
-		head = len(b)
-	}
-	return append(b, tail...), head, nil
+	return append(b, "]}"...), tail, nil
 }
--- a/internal/measure/fronts.go
+++ b/internal/measure/fronts.go
@@ -15,11 +15,14 @@
 	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	"github.com/jedib0t/go-pretty/v6/table"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"mallowlanding/internal/gateway"
+	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/kserve/oip"
 )
 
@@ -48,7 +51,12 @@
 	w.SetStyle(table.StyleLight)
 	w.SetTitle("one warm function through three fronts, %d at a time; one front end on %d cores, %d stand-in workers",
 		frontWorkers, o.Cores, o.Workers)
-	w.AppendHeader(table.Row{"tensor", "front", "RPCs/s", "not ok", "p50 us", "p99 us"})
+	w.AppendHeader(table.Row{"tensor", "front", "RPCs/s", "not ok", "p50 us", "p99 us", "allocated", "times", "read", "written"})
+	at, err := connect(ctx, &conns, filepath.Join(dir, "front.sock"))
+	if err != nil {
+		return err
+	}
+	defer at.Close()
 	for _, size := range sizes {
 		raw := bytes.Repeat([]byte{7}, size)
 		for _, f := range []struct {
@@ -63,15 +71,37 @@
 			if err != nil {
 				return err
 			}
+			before, err := statusOf(ctx, at)
+			if err != nil {
+				return err
+			}
 			r := hammer(ctx, o.Span, call)
 			done()
-			w.AppendRow(table.Row{size, f.name, fmt.Sprintf("%.0f", r.rate), r.failed, r.h.ValueAtQuantile(50), r.h.ValueAtQuantile(99)})
+			after, err := statusOf(ctx, at)
+			if err != nil {
+				return err
+			}
+			n := float64(max(after.Counts.Taken-before.Counts.Taken, 1))
+			each := func(after, before uint64) string { return fmt.Sprintf("%.0f", float64(after-before)/n) }
+			p, q := after.Process, before.Process
+			w.AppendRow(table.Row{size, f.name, fmt.Sprintf("%.0f", r.rate), r.failed, r.h.ValueAtQuantile(50), r.h.ValueAtQuantile(99),
+				each(p.Allocated, q.Allocated), each(p.Allocations, q.Allocations), each(p.Read, q.Read), each(p.Written, q.Written)})
 		}
 	}
 	w.Render()
+	fmt.Fprintln(out, "allocated, times, read and written: bytes, allocations, and bytes of system calls an RPC, of the front end's process")
 	return ctx.Err()
 }
 
+// statusOf asks a front end for its status.
+func statusOf(ctx context.Context, c *jsonrpc.Caller) (s gateway.Status, err error) {
+	a := c.Call(ctx, "rpc.status", nil)
+	if a.Err != nil || a.Code != 0 {
+		return s, fmt.Errorf("rpc.status: %s, %v", a.Message, a.Err)
+	}
+	return s, json.Unmarshal(a.Result, &s)
+}
+
 // hammer keeps RPCs at work, after a quarter of the time to warm up.
 func hammer(ctx context.Context, span time.Duration, call func() error) result {
 	var mu sync.Mutex
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -159,20 +159,28 @@
 
 // kserve is the second front's element, where part of the load comes over it: each function is a model.
 func (f *fleet) kserve(i int) string {
-	models := ""
+	models, served := "", map[string]bool{}
 	for _, m := range f.s.Load.Mix {
+		if m.Front == jsonRPC || served[m.Method] {
+			continue
+		}
+		served[m.Method] = true
 		for n := range f.s.Load.Functions {
-			if name := fmt.Sprintf("%s-%d", m.Method, n); m.Front == "http" {
-				models += fmt.Sprintf("    <model name=%[1]q method=%[2]q function=%[1]q/>\n", name, m.Method)
-			}
+			name := fmt.Sprintf("%s-%d", m.Method, n)
+			models += fmt.Sprintf("    <model name=%[1]q method=%[2]q function=%[1]q/>\n", name, m.Method)
 		}
 	}
 	if models == "" {
 		return ""
 	}
-	return fmt.Sprintf("\n  <kserve socket=%q>\n%s  </kserve>", f.httpSocket(i), models)
+	return fmt.Sprintf("\n  <kserve socket=%q grpc-socket=%q>\n%s  </kserve>", f.httpSocket(i), f.grpcSocket(i), models)
 }
 
+// jsonRPC is the first front's name in a mix.
+const jsonRPC = "json-rpc"
+
+func (f *fleet) grpcSocket(i int) string { return f.path("%s.grpc", frontEnd(i)) }
+
 func (f *fleet) httpSocket(i int) string { return f.path("%s.http", frontEnd(i)) }
 
 func zoneAttr(s *settings.Scenario, i int) string {
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -17,9 +17,17 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-json-experiment/json/jsontext"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
 
 	"mallowlanding/internal/clients"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/turn"
@@ -49,6 +57,8 @@
 	dead    []time.Time // since when a front end is known to be dead
 	open    sync.WaitGroup
 	lookups map[string]*settings.Method
+	grpc    []oip.GRPCInferenceServiceClient
+	dials   []*grpc.ClientConn
 }
 
 // pool is the connections to one front end; each carries many RPCs.
@@ -60,7 +70,7 @@
 	next  int
 }
 
-func newCallers(s *settings.Scenario, f *fleet, keep func(record.Record)) *callers {
+func newCallers(s *settings.Scenario, f *fleet, keep func(record.Record)) (*callers, error) {
 	c := &callers{s: s, fleet: f, keep: keep, methods: map[string]*tally{}, lookups: map[string]*settings.Method{},
 		dead: make([]time.Time, s.Fleet.FrontEnds)}
 	for i := range s.Service.Methods {
@@ -73,8 +83,25 @@
 	}
 	for i := range s.Fleet.FrontEnds {
 		c.pools = append(c.pools, &pool{c: c, i: i, conns: make([]*jsonrpc.Caller, s.Clients.Connections)})
+		cc, err := grpc.NewClient("unix:"+f.grpcSocket(i), grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: time.Second}))
+		if err != nil {
+			return nil, err
+		}
+		c.dials = append(c.dials, cc)
+		c.grpc = append(c.grpc, oip.NewGRPCInferenceServiceClient(cc))
+	}
+	return c, nil
+}
+
+// redial is how soon gRPC clients look for a front end again that was gone.
+var redial = backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 300 * time.Millisecond}
+
+// close ends the connections that outlive an RPC.
+func (c *callers) close() {
+	for _, cc := range c.dials {
+		cc.Close()
 	}
-	return c
 }
 
 // get gives a connection, made anew where it broke.
@@ -265,8 +292,12 @@
 // try sends one RPC and waits for its answer, for its time and some more: late answers are seen, too.
 func (c *callers) try(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
 	m *settings.Method, span time.Duration, repeat bool, rng *rand.Rand) (outcome string, sent bool, comeBack time.Duration) {
-	if mix.Front == "http" && !strings.Contains(function, "-once-") {
-		return c.tryHTTP(ctx, front, mark, token, function, mix, m, span)
+	if mix.Front != jsonRPC && !strings.Contains(function, "-once-") {
+		keep, ms := c.keeper(front, mark, token, function, m, span)
+		if mix.Front == "grpc" {
+			return c.tryGRPC(ctx, front, mark, token, function, mix, m, ms, keep)
+		}
+		return c.tryHTTP(ctx, front, mark, token, function, mix, m, ms, keep)
 	}
 	impatient := rng.Float64() < c.s.Clients.Impatient
 	var conn *jsonrpc.Caller
@@ -291,16 +322,9 @@
 	if repeat {
 		b = append(b, `,"repeat":true`...)
 	}
-	ms := math.Floor(float64(span)/1e5) / 10
+	keep, ms := c.keeper(front, mark, token, function, m, span)
 	b = strconv.AppendFloat(append(b, `,"time_ms":`...), ms, 'f', 1, 64)
 	b = append(jsonrpc.AppendText(append(b, `,"payload":{"mark":`...), mark), "}}"...)
-	base := record.Record{Who: "client", FrontEnd: frontEnd(front), RPC: mark, Method: m.Name, Function: function,
-		Token: token, Time: ms}
-	keep := func(kind, outcome string) {
-		r := base
-		r.T, r.Kind, r.Outcome = time.Now().UnixNano(), kind, outcome
-		c.keep(r)
-	}
 	keep(record.Sent, "")
 	got := make(chan jsonrpc.Answer, 1)
 	var answers atomic.Int32
@@ -352,15 +376,67 @@
 	}
 }
 
-// tryHTTP is try over the second front.
+// keeper keeps records of one try; ms is how long its client waits, as it is told.
+func (c *callers) keeper(front int, mark, token, function string, m *settings.Method, span time.Duration) (
+	keep func(kind, outcome string), ms float64) {
+	ms = math.Floor(float64(span)/1e5) / 10
+	return func(kind, outcome string) {
+		c.keep(record.Record{T: time.Now().UnixNano(), Who: "client", FrontEnd: frontEnd(front), RPC: mark, Method: m.Name,
+			Function: function, Token: token, Time: ms, Kind: kind, Outcome: outcome})
+	}, ms
+}
+
+// slack is how long a client looks for an answer once its time is up: late ones are seen, too.
+func (c *callers) slack() time.Duration { return turn.Duration(c.s.Slack) + time.Second }
+
+// tryGRPC is try over the second front's gRPC; a connection carries many RPCs.
+func (c *callers) tryGRPC(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
+	m *settings.Method, ms float64, keep func(kind, outcome string)) (outcome string, sent bool, comeBack time.Duration) {
+	headers := []string{"inference-timeout-ms", strconv.FormatFloat(ms, 'f', 1, 64)}
+	if m.Effect == router.Tokened {
+		headers = append(headers, "idempotency-key", token)
+	}
+	if mix.Customer != "" {
+		headers = append(headers, "inference-customer", mix.Customer)
+	}
+	ctx, end := context.WithTimeout(metadata.AppendToOutgoingContext(ctx, headers...),
+		time.Duration(ms*float64(time.Millisecond))+c.slack())
+	defer end()
+	keep(record.Sent, "")
+	_, err := c.grpc[front].ModelInfer(ctx, &oip.ModelInferRequest{ModelName: function,
+		Parameters: map[string]*oip.InferParameter{"mark": {ParameterChoice: &oip.InferParameter_StringParam{StringParam: mark}}},
+		Inputs: []*oip.ModelInferRequest_InferInputTensor{{Name: "x", Datatype: "INT32", Shape: []int64{1},
+			Contents: &oip.InferTensorContents{IntContents: []int32{1}}}}})
+	switch st := status.Convert(err); st.Code() {
+	case codes.OK:
+		outcome = "ok"
+	case codes.Unavailable:
+		for _, d := range st.Details() { // without it, nobody answered
+			if info, is := d.(*errdetails.RetryInfo); is {
+				outcome, comeBack = "denied", info.RetryDelay.AsDuration()
+			}
+		}
+	case codes.Unknown:
+		outcome = "aborted"
+	default:
+		outcome = "error " + st.Code().String()
+	}
+	if outcome == "" {
+		keep(record.Lost, "")
+		return "lost", true, 0
+	}
+	keep(record.Answer, outcome)
+	return outcome, true, comeBack
+}
+
+// tryHTTP is try over the second front's HTTP.
 func (c *callers) tryHTTP(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
-	m *settings.Method, span time.Duration) (outcome string, sent bool, comeBack time.Duration) {
+	m *settings.Method, ms float64, keep func(kind, outcome string)) (outcome string, sent bool, comeBack time.Duration) {
 	body := fmt.Sprintf(`{"parameters":{"mark":%q},"inputs":[{"name":"x","datatype":"INT32","shape":[1],"data":[1]}]}`, mark)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://front/v2/models/"+function+"/infer", strings.NewReader(body))
 	if err != nil {
 		return "lost", false, 0
 	}
-	ms := math.Floor(float64(span)/1e5) / 10
 	r.Header.Set("Inference-Timeout-Ms", strconv.FormatFloat(ms, 'f', 1, 64))
 	if m.Effect == router.Tokened {
 		r.Header.Set("Idempotency-Key", token)
@@ -368,17 +444,13 @@
 	if mix.Customer != "" {
 		r.Header.Set("Inference-Customer", mix.Customer)
 	}
-	keep := func(kind, outcome string) {
-		c.keep(record.Record{T: time.Now().UnixNano(), Who: "client", FrontEnd: frontEnd(front), RPC: mark, Method: m.Name,
-			Function: function, Token: token, Time: ms, Kind: kind, Outcome: outcome})
-	}
 	// a connection of its own: a pooled one that the front end closes would be tried again by the library
 	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", c.fleet.httpSocket(front))
 	if err != nil {
 		return "lost", false, 0
 	}
 	defer nc.Close()
-	_ = nc.SetDeadline(time.Now().Add(span + time.Duration(c.s.Slack)*turn.Unit + time.Second))
+	_ = nc.SetDeadline(time.Now().Add(time.Duration(ms*float64(time.Millisecond)) + c.slack()))
 	keep(record.Sent, "")
 	r.Close = true
 	if err = r.Write(nc); err == nil {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -96,7 +96,11 @@
 	}
 	log.Info().Str("scenario", s.Name).Int("front_ends", s.Fleet.FrontEnds).Int("workers", len(f.workers)).
 		Msg("the day begins")
-	c := newCallers(s, f, keepRecord)
+	c, err := newCallers(s, f, keepRecord)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
 	day, end := context.WithCancel(ctx)
 	defer end()
 	m := &maker{f: f, callers: c, log: log}
--- a/internal/rehearse/trouble.go
+++ b/internal/rehearse/trouble.go
@@ -84,6 +84,8 @@
 		return each(m.part(t.Part, rng), "fault.slow", params)
 	case "fast-errors":
 		return each(m.part(t.Part, rng), "fault.errors", params)
+	case "load-fails":
+		return each(m.part(t.Part, rng), "fault.load_fails", params)
 	case "report-late":
 		return each(m.part(1, rng), "fault.reports_late", params)
 	case "flush":
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -59,7 +59,7 @@
 	Method   string  `a:"method" need:"yes"`
 	Share    float64 `a:"share" need:"yes" min:"0" max:"1"`
 	Customer string  `a:"customer"`
-	Front    string  `a:"front" def:"json-rpc" words:"json-rpc http"`
+	Front    string  `a:"front" def:"json-rpc" words:"json-rpc http grpc"`
 }
 
 // Callers tells how clients behave.
@@ -77,7 +77,7 @@
 // Trouble is something that goes wrong at a time.
 type Trouble struct {
 	Pos
-	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close"`
+	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close"`
 	At   router.Time `a:"at-ms" need:"yes" min:"0" max:"3600000"`
 	For  router.Time `a:"for-ms" def:"1000" min:"1" max:"3600000"`
 	Part float64     `a:"part" def:"0.15" min:"0" max:"1"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 	Load      router.Time `a:"load-ms" def:"500" min:"1" max:"600000"`
 	Batch     int         `a:"batch" def:"1" min:"1" max:"64"`
 	BatchWait router.Time `a:"batch-wait-ms" def:"2" min:"0" max:"1000"`
+	Payload   int64       `a:"payload-bytes" def:"0" min:"0" max:"1073741824"`
 }
 
 // Customer is somebody who pays for a share of the service.
@@ -443,7 +444,7 @@
 	var out []engine.Method
 	for _, m := range s.Methods {
 		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Group: m.Group, Gain: m.Gain,
-			Deadline: m.Deadline, Soft: m.Soft, Batch: m.Batch, Wait: m.BatchWait})
+			Deadline: m.Deadline, Soft: m.Soft, Batch: m.Batch, Wait: m.BatchWait, Bytes: m.Payload})
 	}
 	return out
 }
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -104,6 +104,8 @@
 
 	// faults, until a time
 	hungUntil, slowUntil, errorsUntil, lateUntil router.Time
+	failing                                      float64 // share of loads that fail, until failingUntil
+	failingUntil                                 router.Time
 	slow, errors                                 float64
 }
 
@@ -455,7 +457,7 @@
 	m.loads++
 	share := m.set.Machine.StartShare
 	m.world.Fetch(fn.name, router.Time(float64(fn.load)*(1-share)), func(ok bool) {
-		if ok && m.rng.Float64() < m.set.Machine.LoadFails {
+		if ok && m.rng.Float64() < m.loadFails() {
 			ok = false
 		}
 		if !ok || m.unwanted(fn) {
@@ -467,6 +469,13 @@
 	})
 }
 
+func (m *Model) loadFails() float64 {
+	if m.now < m.failingUntil {
+		return max(m.failing, m.set.Machine.LoadFails)
+	}
+	return m.set.Machine.LoadFails
+}
+
 func (m *Model) loaded(fn *copies, ok bool) {
 	m.loads--
 	fn.loading--
@@ -604,6 +613,11 @@
 // Slow has work take longer, by a factor.
 func (m *Model) Slow(factor float64, span router.Time) { m.slow, m.slowUntil = factor, m.now+span }
 
+// LoadsFail has a share of loads fail for a time.
+func (m *Model) LoadsFail(share float64, span router.Time) {
+	m.failing, m.failingUntil = share, m.now+span
+}
+
 // Errors has a share of RPCs fail at once.
 func (m *Model) Errors(share float64, span router.Time) { m.errors, m.errorsUntil = share, m.now+span }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -563,6 +563,8 @@
 		do = func() { w.model.Slow(size, span) }
 	case "fault.errors":
 		do = func() { w.model.Errors(size, span) }
+	case "fault.load_fails":
+		do = func() { w.model.LoadsFail(size, span) }
 	case "fault.reports_late":
 		do = func() { w.model.ReportsLate(router.Time(size*10000), span) }
 	case "fault.drain":
--- a/router/router.go
+++ b/router/router.go
@@ -802,6 +802,15 @@
 	fn.load += (min(took, 3*fn.load) - fn.load) / 4
 }
 
+// Halted tells whether loads of the function are halted and no copy of it is believed to stand.
+func (r *Router) Halted(id FunctionID) bool {
+	fn := r.fns[id]
+	return fn != nil && fn.errors >= loadErrors && !slices.ContainsFunc(r.list, func(w *worker) bool {
+		in := w.holds[id]
+		return in != nil && !in.loading && !in.asked
+	})
+}
+
 // loadFailed counts a load error; the third in a row halts loads of the function.
 func (r *Router) loadFailed(fn *function) {
 	r.room = max(r.room0/8, r.room/2)
