--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -41,6 +41,9 @@
 	Roster   rosterCmd   `cmd:"" help:"Run a stand-in roster, with a stand-in store where its settings have one."`
 	Check    checkCmd    `cmd:"" help:"Check settings files and tell what is wrong with them."`
 	Call     callCmd     `cmd:"" help:"Send one RPC and print its result."`
+	Status   statusCmd   `cmd:"" help:"Tell how a front end stands."`
+	Control  controlCmd  `cmd:"" help:"Run one instance of the stand-in control service."`
+	Config   configCmd   `cmd:"" help:"Submit, compare, watch and take back configurations."`
 	Demo     demoCmd     `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
 	Schema   schemaCmd   `cmd:"" help:"Print the XML schema of the settings."`
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -57,7 +57,8 @@
 	desk     *front.Desk
 	mu       sync.Mutex
 	conns    map[*conn]bool
-	accepted chan struct{} // closed once no more connections are taken
+	accepted chan struct{}  // closed once no more connections are taken
+	more     sync.WaitGroup // other listeners that still take some
 
 	dirty []*conn // with answers of this turn
 }
@@ -95,6 +96,16 @@
 
 // Serve takes connections until the context ends, and then ends those that it has. Drain comes before.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	return s.serve(ctx, l, func() { close(s.accepted) })
+}
+
+// More has a further listener's connections taken, too, until it is closed; the function that it returns serves.
+func (s *Server) More(ctx context.Context, l net.Listener) func() error {
+	s.more.Add(1)
+	return func() error { return s.serve(ctx, l, s.more.Done) }
+}
+
+func (s *Server) serve(ctx context.Context, l net.Listener, over func()) error {
 	var all errgroup.Group
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
@@ -146,7 +157,7 @@
 			nc.Close()
 		}
 	}
-	close(s.accepted)
+	over()
 	_ = all.Wait()
 	return failed
 }
@@ -187,6 +198,7 @@
 // It waits until the listener, which must be closed, gives no more.
 func (s *Server) CloseReads() {
 	<-s.accepted
+	s.more.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -54,6 +54,7 @@
 	Wait     router.Time // for so long they may wait for each other
 	Deadline router.Time
 	Bytes    int64 // of one RPC's payload; 0: no bound of its own
+	Gone     bool  // it was removed: only RPCs that came before have it
 }
 
 // Function is what the settings tell of a loaded copy of a function.
@@ -76,6 +77,7 @@
 	cause    string // what the last failed call-out told
 	leave    leave.RPC
 	callOff  turn.Timer
+	place    router.MethodID
 
 	Method   *Method
 	Function string
@@ -172,14 +174,30 @@
 		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]named{},
 		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen,
 		wanted: leave.NewWanted[OrderID](), within: o.CallOff}
-	number := func(name string) float64 { v, _ := o.Settings[name].(float64); return v }
-	e.most = int(number(terms.Path(terms.May, terms.CallOuts)))
-	e.overlap, _ = o.Settings[terms.Path(terms.May, terms.Overlap)].(bool)
-	e.orderBy = router.Time(number(terms.Path(terms.Functions, terms.OrderTimeOut)))
+	e.heed(o.Settings)
 	e.core = core.New((*port)(e), o.Now, o.Seed, o.Settings)
 	return e
 }
 
+// heed reads what the engine itself needs of the module's settings.
+func (e *Engine) heed(s router.Settings) {
+	number := func(name string) float64 { v, _ := s[name].(float64); return v }
+	e.most = int(number(terms.Path(terms.May, terms.CallOuts)))
+	e.overlap, _ = s[terms.Path(terms.May, terms.Overlap)].(bool)
+	e.orderBy = router.Time(number(terms.Path(terms.Functions, terms.OrderTimeOut)))
+}
+
+// Renew takes new settings; in a turn. Methods are all that there are, at their places; RPCs taken before are bound by
+// the stricter of both.
+func (e *Engine) Renew(s router.Settings, methods []Method) {
+	e.heed(s)
+	for _, p := range e.rpcs {
+		m := &methods[p.place]
+		p.leave.Bind(m.Effect, m.Group)
+	}
+	e.core.Renew(e.now, s)
+}
+
 // Begin begins a turn.
 func (e *Engine) Begin(now router.Time) {
 	e.now = now
@@ -231,7 +249,7 @@
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
 	e.names[fid] = named{function, fn}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
-		Fn: fn, Token: token, Payload: payload, Blob: blob, Soft: e.now + method.Soft, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
+		Fn: fn, Token: token, Payload: payload, Blob: blob, Soft: e.now + method.Soft, place: m, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
 	e.rpcs[id] = p
 	e.wanted.Take(fid)
 	e.counts.Taken++
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,11 +29,12 @@
 // Options are a follower's settings.
 type Options struct {
 	FrontEnd string
-	Socket   string
-	Cache    string // file of the last list; empty: none is kept
+	Sockets  []string // of rosters: the first that answers is followed
+	Cache    string   // file of the last list; empty: none is kept
 	Zone     func(string) router.ZoneID
 	Cell     func(string) router.CellID
 	Kind     func(string) router.KindID
+	Static   []Static
 	Log      zerolog.Logger
 }
 
@@ -55,8 +57,12 @@
 	Kind   string  `json:"kind,omitempty"`
 	Life   int64   `json:"life"`   // names one life of the worker: its start by the roster's clock, ms since 1970
 	AgeMs  float64 `json:"age_ms"` // since that start, as the list was sent; below 0: long ago
+	static bool    // no roster named it: it is the settings' own
 }
 
+// Static is a worker that the settings name themselves: ready unless a roster has told otherwise.
+type Static struct{ Name, Socket, Zone, Cell, Kind string }
+
 type cacheFile struct {
 	SavedUnixMs int64   `json:"saved_unix_ms"`
 	Workers     []entry `json:"workers"`
@@ -81,12 +87,90 @@
 	saves   chan []entry
 	told    chan struct{}
 	once    sync.Once
+	static  map[string]entry
+
+	mu      sync.Mutex
+	sockets []string
+	current net.Conn // of the roster that is followed
+	at      string   // its socket
 }
 
 // New makes a follower; Run starts it.
 func New(loop *turn.Loop, e *engine.Engine, l *links.Set, o Options) *Follower {
 	return &Follower{o: o, loop: loop, engine: e, links: l, entries: map[string]entry{}, lives: map[string]life{},
-		saves: make(chan []entry, 1), told: make(chan struct{})}
+		saves: make(chan []entry, 1), told: make(chan struct{}), static: statics(o.Static), sockets: o.Sockets}
+}
+
+func statics(list []Static) map[string]entry {
+	out := map[string]entry{}
+	for _, w := range list {
+		out[w.Name] = entry{Name: w.Name, Socket: w.Socket, State: "ready", Zone: w.Zone, Cell: w.Cell, Kind: w.Kind,
+			AgeMs: -1, static: true}
+	}
+	return out
+}
+
+// Renew takes new settings; in a turn. Workers are listed anew, since zones may have new numbers; a worker that the
+// settings name no more, and no roster does, is gone.
+func (f *Follower) Renew(o Options) {
+	f.o.Zone, f.o.Cell, f.o.Kind = o.Zone, o.Cell, o.Kind
+	f.static = statics(o.Static)
+	f.engine.ListBegins(router.Changes, f.version)
+	for _, name := range f.order {
+		e := f.entries[name]
+		if _, still := f.static[name]; e.static && !still {
+			e.State = "gone"
+		}
+		f.list(e)
+	}
+	f.listStatic()
+	f.engine.ListEnds()
+	f.mu.Lock()
+	f.sockets = o.Sockets
+	if f.current != nil && !slices.Contains(o.Sockets, f.at) {
+		f.current.Close() // the next one is looked for; the last list stands until it tells
+	}
+	f.mu.Unlock()
+}
+
+// StateOf tells what a roster said last of a worker; empty: none named it. In a turn.
+func (f *Follower) StateOf(name string) string {
+	if e, known := f.entries[name]; known && !e.static {
+		return e.State
+	}
+	return ""
+}
+
+// listStatic lists the settings' own workers that no roster has named.
+func (f *Follower) listStatic() {
+	names := make([]string, 0, len(f.static))
+	for name := range f.static {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if f.StateOf(name) == "" {
+			f.list(f.static[name])
+		}
+	}
+}
+
+// list tells the engine of one worker, and keeps or drops its link.
+func (f *Follower) list(w entry) {
+	l := f.lives[w.Name]
+	if err := f.engine.Listed(w.Name, states[w.State], l.started, f.o.Zone(w.Zone), f.o.Cell(w.Cell), f.o.Kind(w.Kind)); err != nil {
+		f.o.Log.Error().Err(err).Msg("a worker is left out")
+		return
+	}
+	if _, known := f.entries[w.Name]; !known {
+		f.order = append(f.order, w.Name)
+	}
+	f.entries[w.Name] = w
+	if w.State == "gone" {
+		f.links.Unwant(w.Name)
+	} else {
+		f.links.Want(w.Name, w.Socket, ident.Worker(w.Name))
+	}
 }
 
 // Ready tells whether the list names a worker that is ready; in a turn.
@@ -132,9 +216,29 @@
 	return nil
 }
 
+// dial finds the first roster that answers.
+func (f *Follower) dial(ctx context.Context) (nc net.Conn, err error) {
+	f.mu.Lock()
+	sockets := f.sockets
+	f.mu.Unlock()
+	for _, socket := range sockets {
+		if nc, err = (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", socket); err == nil {
+			f.mu.Lock()
+			f.current, f.at = nc, socket
+			stale := !slices.Contains(f.sockets, socket)
+			f.mu.Unlock()
+			if stale { // the settings changed meanwhile
+				nc.Close()
+			}
+			return nc, nil
+		}
+	}
+	return nil, err
+}
+
 // watch serves one connection to the roster; told: at least one list came.
 func (f *Follower) watch(ctx context.Context) (told bool, err error) {
-	nc, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", f.o.Socket)
+	nc, err := f.dial(ctx)
 	if err != nil {
 		return false, err
 	}
@@ -259,30 +363,18 @@
 			}
 			f.lives[w.Name] = l
 		}
-		if err := f.engine.Listed(w.Name, states[w.State], l.started, f.o.Zone(w.Zone), f.o.Cell(w.Cell),
-			f.o.Kind(w.Kind)); err != nil {
-			f.o.Log.Error().Err(err).Msg("a worker is left out")
-			continue
-		}
-		if _, known := f.entries[w.Name]; !known {
-			f.order = append(f.order, w.Name)
-		}
-		f.entries[w.Name] = w
-		if w.State == "gone" {
-			f.links.Unwant(w.Name)
-		} else {
-			f.links.Want(w.Name, w.Socket, ident.Worker(w.Name))
-		}
+		f.list(w)
 	}
 	if form == router.Whole {
 		for _, name := range f.order {
-			if e := f.entries[name]; !named[name] && e.State != "gone" {
+			if e := f.entries[name]; !named[name] && !e.static && e.State != "gone" {
 				e.State = "gone"
 				f.entries[name] = e
 				f.links.Unwant(name)
 			}
 		}
 	}
+	f.listStatic()
 	f.engine.ListEnds()
 	if form != router.Cached {
 		f.once.Do(func() { close(f.told) })
@@ -300,7 +392,7 @@
 	now := f.loop.Now()
 	for _, name := range f.order {
 		e := f.entries[name]
-		if e.State == "gone" {
+		if e.State == "gone" || e.static {
 			continue
 		}
 		if started := f.lives[name].started; started > 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"mallowlanding/internal/engine"
@@ -29,7 +30,7 @@
 // Options are a desk's settings.
 type Options struct {
 	Methods   []engine.Method
-	Customers []string // none: RPCs name no customer
+	Customers []string // by place, empty where one is gone; none: RPCs name no customer
 	Function  func(method int, name string) engine.Function
 	Margin    router.Time // kept of each RPC's time for the answer's way to the client
 	Gate      limits.Settings
@@ -50,46 +51,73 @@
 
 // Desk is a front end's, for all of its protocols. It belongs to the loop's goroutine.
 type Desk struct {
-	o         Options
-	engine    *engine.Engine
-	methods   map[string]int
+	o        Options
+	engine   *engine.Engine
+	service  atomic.Pointer[service]
+	now      router.Time
+	timers   turn.Timers
+	gate     *limits.Gate
+	repeats  *repeats.Open[*Ask]
+	works    map[*repeats.Group[*Ask]]*work
+	order    uint64
+	stopping bool
+}
+
+// service is what RPCs may ask for. It is replaced whole.
+type service struct {
+	list      []engine.Method // by place
+	methods   map[string]int  // without those that are gone
 	customers map[string]int
-	now       router.Time
-	timers    turn.Timers
-	gate      *limits.Gate
-	repeats   *repeats.Open[*Ask]
-	works     map[*repeats.Group[*Ask]]*work
-	order     uint64
-	stopping  bool
+	function  func(method int, name string) engine.Function
 }
 
-// NewDesk makes the desk of an engine.
-func NewDesk(e *engine.Engine, o Options) *Desk {
-	d := &Desk{o: o, engine: e, methods: map[string]int{}, customers: map[string]int{}, gate: limits.New(o.Gate),
-		repeats: repeats.New[*Ask](), works: map[*repeats.Group[*Ask]]*work{}}
+func newService(o *Options) *service {
+	s := &service{list: o.Methods, methods: map[string]int{}, customers: map[string]int{}, function: o.Function}
 	for i, m := range o.Methods {
-		d.methods[m.Name] = i
+		if !m.Gone {
+			s.methods[m.Name] = i
+		}
 	}
 	for i, c := range o.Customers {
-		d.customers[c] = i
+		if c != "" {
+			s.customers[c] = i
+		}
 	}
+	return s
+}
+
+// NewDesk makes the desk of an engine.
+func NewDesk(e *engine.Engine, o Options) *Desk {
+	d := &Desk{o: o, engine: e, gate: limits.New(o.Gate), repeats: repeats.New[*Ask](),
+		works: map[*repeats.Group[*Ask]]*work{}}
+	d.service.Store(newService(&o))
 	return d
 }
 
+// Renew takes new methods, customers and bounds; in a turn. Methods and customers keep their places; one that is gone
+// keeps it for the RPCs that have it. An RPC that waits at the gate goes by the new settings, or is refused by them.
+func (d *Desk) Renew(methods []engine.Method, customers []string, function func(int, string) engine.Function,
+	gate limits.Settings) {
+	d.o.Methods, d.o.Customers, d.o.Function, d.o.Gate = methods, customers, function, gate
+	d.service.Store(newService(&d.o))
+	d.gate.Renew(gate)
+}
+
 // Method finds a method's place; any goroutine may ask.
 func (d *Desk) Method(name string) (place int, known bool) {
-	place, known = d.methods[name]
+	place, known = d.service.Load().methods[name]
 	return place, known
 }
 
 // MethodAt is the method at a place; any goroutine may ask.
-func (d *Desk) MethodAt(place int) *engine.Method { return &d.o.Methods[place] }
+func (d *Desk) MethodAt(place int) *engine.Method { return &d.service.Load().list[place] }
 
 // Check tells what is missing or wrong in what is asked for; any goroutine may ask. The words are those of the
 // protocols' parameters.
 func (d *Desk) Check(p *Params) error {
-	m := &d.o.Methods[p.Method]
-	_, knownCustomer := d.customers[p.Customer]
+	s := d.service.Load()
+	m := &s.list[p.Method]
+	_, knownCustomer := s.customers[p.Customer]
 	switch {
 	case m.Bytes > 0 && int64(len(p.Payload)+len(p.Blob)) > m.Bytes:
 		return fmt.Errorf("payload of %d bytes, method %q takes %d", len(p.Payload)+len(p.Blob), m.Name, m.Bytes)
@@ -97,7 +125,7 @@
 		return errors.New(`"function" is missing or empty`)
 	case m.Effect == router.Tokened && p.Token == "":
 		return fmt.Errorf(`"token" is missing: method %q is tokened`, m.Name)
-	case len(d.customers) > 0 && p.Customer == "":
+	case len(s.customers) > 0 && p.Customer == "":
 		return errors.New(`"customer" is missing`)
 	case p.Customer != "" && !knownCustomer:
 		return fmt.Errorf("no customer %.80q", p.Customer)
@@ -235,6 +263,11 @@
 func (a *Ask) start() {
 	d := a.c.d
 	d.timers.Stop(&a.timer)
+	if err := d.Check(&a.p); err != nil { // the settings changed while it waited
+		a.forget()
+		a.reply.Refused(err.Error())
+		return
+	}
 	method := &d.o.Methods[a.p.Method]
 	w := &work{d: d, lead: a}
 	if method.Effect == router.Tokened {
@@ -265,7 +298,7 @@
 		client = d.o.Wrap(w)
 	}
 	a.work = w
-	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.customers[a.p.Customer]),
+	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.service.Load().customers[a.p.Customer]),
 		a.p.Function, d.o.Function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob,
 		client)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,9 +133,11 @@
 	return made.(*net.UnixListener), nil, nil, nil
 }
 
-func serve(ctx context.Context, f *settings.FrontEnd, log zerolog.Logger, listener *net.UnixListener,
+func serve(ctx context.Context, own *settings.FrontEnd, log zerolog.Logger, listener *net.UnixListener,
 	more []handover.Listener, confirm func() error, ready func(), o Outgoing) error {
 	loop := turn.NewLoop()
+	cf := newConfigured(own, loop, log)
+	f := cf.now.Load()
 	e := engine.New(engine.Options{Settings: f.Module(), Seed: f.Seed, Now: loop.Now(), Margin: f.Clients.Margin,
 		CallOff: f.Clients.CallOff,
 		Log:     func(text string) { log.Info().Str("from", "module").Msg(text) }})
@@ -152,19 +154,14 @@
 		ConnectTimeOut: turn.Duration(f.Service.CallOuts.ConnectTimeOut), ValueBytes: f.Workers.ValueBytes,
 		SendBytes: f.Workers.SendBytes, RedialMin: turn.Duration(f.Workers.RedialMin),
 		RedialMax: turn.Duration(f.Workers.RedialMax), Wrap: o.Link, Log: log})
-	fo := follow.New(loop, e, ls, follow.Options{FrontEnd: f.Name, Socket: f.Roster.Socket, Cache: f.Roster.Cache,
-		Zone: f.Service.ZoneID, Cell: f.Service.CellID, Kind: f.Service.KindID, Log: log})
-	customers := make([]string, len(f.Service.Customers))
-	for i, c := range f.Service.Customers {
-		customers[i] = c.Name
-	}
-	desk := front.NewDesk(e, front.Options{Methods: f.Service.EngineMethods(), Customers: customers,
+	fo := follow.New(loop, e, ls, cf.following(f, cf.booted))
+	desk := front.NewDesk(e, front.Options{Methods: f.Service.EngineMethods(), Customers: customersOf(&f.Service),
 		Function: f.Service.FunctionFor(), Margin: f.Clients.Margin, Gate: gate(f), Wrap: o.Client})
 	srv := clients.New(loop, desk, clients.Options{
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
 			WriteTimeOut: turn.Duration(f.Clients.WriteTimeOut)},
-		Answer: o.Answer, Allow: allow(f), Status: func() []byte { return status(f, e, desk) }, Log: log})
+		Answer: o.Answer, Allow: allow(f), Status: func() []byte { return status(f, e, desk, cf) }, Log: log})
 
 	var loopGroup, restGroup, frontGroup errgroup.Group
 	loopGroup.Go(func() error { loop.Run(loopCtx, &machine{e, ls, desk, srv}); return nil })
@@ -182,6 +179,7 @@
 	if err != nil {
 		failed <- err
 	}
+	cf.parts(rest, clientSide, &restGroup, &frontGroup, e, desk, fo, srv, ks)
 	log.Info().Str("socket", f.Clients.Socket).Int("number", f.Number).Int("of", f.Of).Msg("front end takes RPCs")
 	if ready != nil {
 		ready()
@@ -199,6 +197,7 @@
 			log.Info().Msg("client socket handed over: what is held is answered")
 		}
 	}
+	cf.stop()
 	began := time.Now()
 	isHanded := false
 	select {
@@ -208,7 +207,7 @@
 	default:
 		listener.Close()
 	}
-	within := turn.Duration(f.Stop.Within)
+	within := turn.Duration(cf.now.Load().Stop.Within)
 	deadline := time.After(within)
 	open := make(chan int, 1)
 	left := -1
@@ -268,11 +267,7 @@
 	}
 	o := kserve.Options{Name: f.Name, BodyBytes: k.BodyBytes, TimeHeader: k.TimeHeader,
 		CustomerHeader: k.CustomerHeader, TokenHeader: k.TokenHeader, Ready: fo.Ready, Halted: e.Halted, Log: log}
-	for i := range k.Models {
-		m := &k.Models[i]
-		o.Models = append(o.Models, kserve.Model{Name: m.Name, Version: m.Version, Platform: m.Platform,
-			Method: k.MethodOf(&f.Service, m), Function: m.FunctionOf(), Inputs: metas(m.Inputs), Outputs: metas(m.Outputs)})
-	}
+	o.Models = modelsOf(f)
 	if k.TLS != nil {
 		store, err := keys.Open(keys.Files{Cert: k.TLS.Cert, Key: k.TLS.Key, ClientCA: k.TLS.ClientCA}, log)
 		if err != nil {
@@ -325,6 +320,27 @@
 	return s, ls, nil
 }
 
+// modelsOf are a front end's models, by the places of its methods.
+func modelsOf(f *settings.FrontEnd) (out []kserve.Model) {
+	for i := range f.KServe.Models {
+		m := &f.KServe.Models[i]
+		out = append(out, kserve.Model{Name: m.Name, Version: m.Version, Platform: m.Platform,
+			Method: f.KServe.MethodOf(&f.Service, m), Function: m.FunctionOf(), Inputs: metas(m.Inputs), Outputs: metas(m.Outputs)})
+	}
+	return out
+}
+
+// customersOf are the customers' names by place, empty where one is gone.
+func customersOf(s *settings.Service) []string {
+	out := make([]string, len(s.Customers))
+	for i, c := range s.Customers {
+		if out[i] = c.Name; c.Gone {
+			out[i] = ""
+		}
+	}
+	return out
+}
+
 // place is a socket of the second front.
 type place struct{ front, network, address string }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -11,6 +11,7 @@
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/settings"
+	"mallowlanding/internal/steer"
 )
 
 // Status is what a front end tells of itself over its socket (rpc.status).
@@ -22,6 +23,13 @@
 	Waiting int           `json:"waiting"` // at the gate
 	Leaving bool          `json:"leaving"`
 	Process Process       `json:"process"`
+	Config  *Config       `json:"configuration,omitempty"` // nil: no control service is named
+}
+
+// Config is where a front end's configuration stands.
+type Config struct {
+	steer.Status
+	AppliedUs float64 `json:"applied_us"` // how long the turn stood that took the last version over
 }
 
 // Process is what the front end's process has used since it began.
@@ -35,11 +43,14 @@
 }
 
 // status is told in a turn.
-func status(f *settings.FrontEnd, e *engine.Engine, desk *front.Desk) []byte {
+func status(f *settings.FrontEnd, e *engine.Engine, desk *front.Desk, cf *configured) []byte {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	s := Status{Name: f.Name, Number: f.Number, Of: f.Of, Counts: e.Counts(), Waiting: desk.Waiting(), Leaving: desk.Stopping(),
 		Process: Process{Allocated: m.TotalAlloc, Allocations: m.Mallocs, Heap: m.HeapAlloc, Collections: m.NumGC}}
+	if cf.steer != nil {
+		s.Config = &Config{Status: cf.steer.Status(), AppliedUs: float64(cf.took.Load()) / 1000}
+	}
 	s.Process.Read, s.Process.Written = moved()
 	b, err := json.Marshal(s)
 	if err != nil { // a struct of numbers and words
--- a/internal/kserve/grpc.go
+++ b/internal/kserve/grpc.go
@@ -108,7 +108,7 @@
 	}
 	out := &oip.ModelMetadataResponse{Name: m.Name, Platform: m.Platform, Inputs: metadatas(m.Inputs),
 		Outputs: metadatas(m.Outputs)}
-	for _, v := range g.s.models[m.Name] {
+	for _, v := range g.s.versions(m.Name) {
 		out.Versions = append(out.Versions, v.Version)
 	}
 	return out, nil
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,7 +60,7 @@
 	o      Options
 	loop   *turn.Loop
 	desk   *front.Desk
-	models map[string][]*Model // versions of each, in their order
+	models atomic.Pointer[map[string][]*Model] // versions of each, in their order
 	http   http.Server
 	grpc   []*grpc.Server // plain, and with TLS where there are keys
 
@@ -76,11 +77,8 @@
 
 // New makes a server for a desk that loop drives.
 func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
-	s := &Server{o: o, loop: loop, desk: d, models: map[string][]*Model{}, conns: map[net.Conn]*peer{}}
-	for i := range o.Models {
-		m := &s.o.Models[i]
-		s.models[m.Name] = append(s.models[m.Name], m)
-	}
+	s := &Server{o: o, loop: loop, desk: d, conns: map[net.Conn]*peer{}}
+	s.Renew(o.Models)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v2/health/live", func(w http.ResponseWriter, _ *http.Request) { write(w, 200, []byte(`{"live":true}`)) })
 	mux.HandleFunc("GET /v2/health/ready", s.ready)
@@ -108,6 +106,18 @@
 	return s
 }
 
+// Renew takes new models; infers that came before keep theirs.
+func (s *Server) Renew(models []Model) {
+	by := map[string][]*Model{}
+	for i := range models {
+		by[models[i].Name] = append(by[models[i].Name], &models[i])
+	}
+	s.models.Store(&by)
+}
+
+// versions are those of a model.
+func (s *Server) versions(model string) []*Model { return (*s.models.Load())[model] }
+
 // headerTimeOut bounds how long a client may take over its headers.
 const headerTimeOut = 10 * time.Second
 
@@ -224,7 +234,7 @@
 
 // find finds a model; without a version the last one stated is meant.
 func (s *Server) find(name, version string) (*Model, error) {
-	versions := s.models[name]
+	versions := s.versions(name)
 	for i := len(versions) - 1; i >= 0; i-- {
 		if version == "" || versions[i].Version == version {
 			return versions[i], nil
@@ -265,7 +275,7 @@
 	}
 	b := jsonrpc.AppendText([]byte(`{"name":`), m.Name)
 	b = append(b, `,"versions":[`...)
-	for i, v := range s.models[m.Name] {
+	for i, v := range s.versions(m.Name) {
 		if i > 0 {
 			b = append(b, ',')
 		}
--- a/internal/leave/leave.go
+++ b/internal/leave/leave.go
@@ -24,6 +24,11 @@
 	cancelled     bool
 }
 
+// Bind tells that the method's settings changed while the RPC is open; see router.Stricter.
+func (r *RPC) Bind(effect, group string) {
+	r.Effect, r.Group, _ = router.Stricter(r.Effect, r.Group, 0, effect, group, 0)
+}
+
 // Sent tells of a call-out.
 func (r *RPC) Sent() { r.out++ }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -94,6 +94,15 @@
 // New makes a gate.
 func New(s Settings) *Gate { return &Gate{set: s, peers: map[PeerID]*use{}} }
 
+// Renew takes new figures. What is open stays; where it is more than a bound now, nothing comes in until it is less.
+func (g *Gate) Renew(s Settings) {
+	g.set = s
+	g.prune()
+	for _, c := range g.lines { // a bound that was raised may let some pass
+		g.queue(c)
+	}
+}
+
 // Open tells of a connection.
 func (g *Gate) Open(peer PeerID) *Conn { return &Conn{g: g, peer: peer, held: map[string]int{}} }
 
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,292 @@
+package rollout
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Scenarios, each under a line of '== NAME': stages 0.25 and 1, hold 100, patience 1000, live 500, ten RPCs at least.
+//
+//	followers N                     f0 to fN-1 report what they run: nothing
+//	at MS                           time goes on to MS, in ticks of 10; followers report that they live each 100
+//	submit TEXT [base=V]            numbers a version; bad ones are turned down by their followers
+//	rollback V
+//	answers                         who has a target that it does not run accepts it, or turns it down if its text begins with bad
+//	answer NAME                     one of them
+//	away NAME | back NAME           it reports no more, or again
+//	rpcs SHARE_OK N WHO             N RPCs more at who runs the candidate (with), at the others (without), or all
+//	report NAME VERSION             it says that it runs so
+//	want state V STATE | want targets V=COUNT ... | want reason V TEXT | want stable V | want error TEXT
+func TestScenarios(t *testing.T) {
+	text, err := os.ReadFile("testdata/rollouts.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, all, _ := strings.Cut("\n"+string(text), "\n== ")
+	for part := range strings.SplitSeq(all, "\n== ") {
+		name, steps, _ := strings.Cut(part, "\n")
+		t.Run(name, func(t *testing.T) {
+			p := &play{t: t, s: New(Settings{Stages: []float64{0.25, 1}, Hold: 100, Patience: 1000, Live: 500, Worse: 0.1, LeastRPCs: 10}),
+				runs: map[string]*Report{}, away: map[string]bool{}}
+			for line := range strings.Lines(steps) {
+				if w := strings.Fields(line); len(w) > 0 && w[0] != "#" {
+					if err := p.step(w); err != nil {
+						t.Fatalf("%s: %v", strings.TrimSpace(line), err)
+					}
+				}
+			}
+		})
+	}
+}
+
+type play struct {
+	t    *testing.T
+	s    *State
+	now  Millis
+	runs map[string]*Report
+	away map[string]bool
+	err  error
+}
+
+func (p *play) names() []string {
+	var out []string
+	for name := range p.runs {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (p *play) answer(name string) {
+	r, target := p.runs[name], p.s.Target(name)
+	if e := p.s.Entries[target]; target > r.Version && e != nil && !p.away[name] {
+		if strings.HasPrefix(e.Text, "bad") {
+			r.Refused, r.Reason = target, "it is bad"
+		} else {
+			r.Version, r.Digest = target, e.Digest
+		}
+		p.s.Heard(p.now, *r)
+	}
+}
+
+func (p *play) step(w []string) error {
+	version := func(i int) Version { n, _ := strconv.Atoi(w[i]); return Version(n) }
+	switch w[0] {
+	case "followers":
+		n, _ := strconv.Atoi(w[1])
+		for i := range n {
+			r := &Report{Name: fmt.Sprintf("f%d", i)}
+			p.runs[r.Name] = r
+			p.s.Heard(p.now, *r)
+		}
+	case "at":
+		for until := Millis(version(1)); p.now < until; {
+			p.now += 10
+			for _, name := range p.names() {
+				if p.now%100 == 0 && !p.away[name] {
+					p.s.Heard(p.now, *p.runs[name])
+				}
+			}
+			p.s.Tick(p.now)
+		}
+	case "submit":
+		base := Version(0)
+		if len(w) > 2 {
+			n, _ := strconv.Atoi(strings.TrimPrefix(w[2], "base="))
+			base = Version(n)
+		}
+		_, p.err = p.s.Submit(p.now, w[1], "digest of "+w[1], "op", "", base)
+	case "rollback":
+		_, p.err = p.s.Rollback(p.now, version(1), "op", "")
+	case "answers":
+		for _, name := range p.names() {
+			p.answer(name)
+		}
+	case "answer":
+		p.answer(w[1])
+	case "away", "back":
+		p.away[w[1]] = w[0] == "away"
+	case "report":
+		p.runs[w[1]].Version = version(2)
+		p.s.Heard(p.now, *p.runs[w[1]])
+	case "rpcs":
+		share, _ := strconv.ParseFloat(w[1], 64)
+		n := float64(version(2))
+		for _, name := range p.names() {
+			r := p.runs[name]
+			if with := r.Version == p.s.Candidate; w[3] == "all" || with == (w[3] == "with") {
+				ok := uint64(share * n)
+				r.Figures.OK += ok
+				r.Figures.Aborted += uint64(n) - ok
+				r.Figures.Taken += uint64(n)
+				p.s.Heard(p.now, *r)
+			}
+		}
+	case "want":
+		return p.want(w[1:])
+	default:
+		return fmt.Errorf("no step %q", w[0])
+	}
+	return nil
+}
+
+func (p *play) want(w []string) error {
+	n, _ := strconv.Atoi(w[min(1, len(w)-1)])
+	e := p.s.Entries[Version(n)]
+	if (w[0] == "state" || w[0] == "reason") && e == nil {
+		return fmt.Errorf("no version %d", n)
+	}
+	switch w[0] {
+	case "state":
+		if e.State != w[2] {
+			return fmt.Errorf("it is %s: %s", e.State, e.Reason)
+		}
+	case "reason":
+		if text := strings.Join(w[2:], " "); !strings.Contains(e.Reason, text) {
+			return fmt.Errorf("reason is %q", e.Reason)
+		}
+	case "stable":
+		if p.s.Stable != Version(n) {
+			return fmt.Errorf("it is %d", p.s.Stable)
+		}
+	case "error":
+		if text := strings.Join(w[1:], " "); p.err == nil || !strings.Contains(p.err.Error(), text) {
+			return fmt.Errorf("error is %v", p.err)
+		}
+	case "targets":
+		counts := map[Version]int{}
+		for name := range p.runs {
+			counts[p.s.Target(name)]++
+		}
+		for _, pair := range w[1:] {
+			v, count, _ := strings.Cut(pair, "=")
+			n, _ := strconv.Atoi(v)
+			if strconv.Itoa(counts[Version(n)]) != count {
+				return fmt.Errorf("targets are %v", counts)
+			}
+		}
+	default:
+		return fmt.Errorf("nothing like that to want")
+	}
+	return nil
+}
+
+// Whatever comes in whatever order: no number is used twice or falls, a follower's target never falls, a state that was
+// through a snapshot decides alike, and once all is quiet a good newest version is accepted everywhere.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Settings{Stages: []float64{0.3, 1}, Hold: 20, Patience: 300, Live: 200, Worse: 0.2, LeastRPCs: 50}
+		s := New(set)
+		now := Millis(0)
+		runs := map[string]*Report{}
+		for i := range rapid.IntRange(1, 6).Draw(t, "followers") {
+			name := fmt.Sprintf("f%d", i)
+			runs[name] = &Report{Name: name}
+		}
+		names := func() []string {
+			var out []string
+			for name := range runs {
+				out = append(out, name)
+			}
+			slices.Sort(out)
+			return out
+		}
+		last := Version(0)
+		targets := map[string]Version{}
+		step := func(ms Millis) {
+			now += ms
+			s.Tick(now)
+		}
+		report := func(name string) {
+			r, target := runs[name], s.Target(name)
+			if e := s.Entries[target]; target > r.Version && e != nil {
+				if e.Text == "bad" {
+					r.Refused, r.Reason = target, "bad"
+				} else {
+					r.Version, r.Digest = target, e.Digest
+				}
+			}
+			s.Heard(now, *r)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				text := rapid.SampledFrom([]string{"a", "b", "c", "bad"}).Draw(t, "text")
+				v, err := s.Submit(now, text, text, "op", "", 0)
+				if err != nil || v <= last {
+					t.Fatalf("version %d after %d: %v", v, last, err)
+				}
+				last = v
+			},
+			"rollback": func(t *rapid.T) {
+				if v, err := s.Rollback(now, 0, "op", ""); err == nil {
+					if v <= last {
+						t.Fatalf("version %d after %d", v, last)
+					}
+					last = v
+				}
+			},
+			"report": func(t *rapid.T) { report(rapid.SampledFrom(names()).Draw(t, "who")) },
+			"tick":   func(t *rapid.T) { step(Millis(rapid.IntRange(1, 150).Draw(t, "ms"))) },
+			"snapshot": func(t *rapid.T) {
+				raw, err := json.Marshal(s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				back := New(set)
+				if err := json.Unmarshal(raw, back); err != nil {
+					t.Fatal(err)
+				}
+				s = back
+			},
+			"": func(t *rapid.T) {
+				last = max(last, s.Newest)
+				for _, name := range names() {
+					v := s.Target(name)
+					if r := runs[name]; r.Version > 0 && v < r.Version {
+						t.Fatalf("%s runs %d and is to run %d", name, r.Version, v)
+					}
+					targets[name] = v
+				}
+				if s.Stable != 0 && s.Entries[s.Stable].Text == "bad" {
+					t.Fatalf("a bad version is accepted")
+				}
+			},
+		})
+		v, err := s.Submit(now, "good", "good", "op", "", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 200 {
+			for _, name := range names() {
+				report(name)
+			}
+			step(20)
+		}
+		if e := s.Entries[s.Stable]; e == nil || e.Text != "good" {
+			t.Fatalf("quiet, and version %d is %+v; stable %d", v, s.Entries[v], s.Stable)
+		}
+		for _, r := range runs {
+			if r.Digest != "good" {
+				t.Fatalf("%+v at the end", r)
+			}
+		}
+	})
+}
+
+// The same verdict every time: cases are drawn from one seed, unless a command line names another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,7 @@
 	Batch     int         `a:"batch" def:"1" min:"1" max:"64"`
 	BatchWait router.Time `a:"batch-wait-ms" def:"2" min:"0" max:"1000"`
 	Payload   int64       `a:"payload-bytes" def:"0" min:"0" max:"1073741824"`
+	Gone      bool        // a configuration left it out; it keeps its place
 }
 
 // Customer is somebody who pays for a share of the service.
@@ -53,6 +54,7 @@
 	Name  string  `a:"name" need:"yes"`
 	Quota float64 `a:"quota-per-s" need:"yes" min:"0" max:"1e9"`
 	Share float64 `a:"share" def:"0" min:"0" max:"1"`
+	Gone  bool    // a configuration left it out; it keeps its place
 }
 
 // Named is a zone or a cell.
@@ -130,6 +132,7 @@
 	KServe  *KServe    `e:"kserve"`
 	Workers Workers    `e:"workers"`
 	Roster  RosterAt   `e:"roster" need:"yes"`
+	Control *ControlAt `e:"control"`
 	Service Service    `e:"service" need:"yes"`
 }
 
@@ -301,8 +304,18 @@
 		_, err = ReadRoster(file)
 	case "scenario":
 		_, err = ReadScenario(file)
+	case "control":
+		_, err = ReadControl(file)
+	case "configuration":
+		in, err := openFile(file)
+		if err != nil {
+			return "", err
+		}
+		defer in.Close()
+		_, err = ReadConfiguration(file, in)
+		return root.name, err
 	default:
-		err = root.pos.Errorf("root element %q is none of front-end, worker, roster, scenario", root.name)
+		err = root.pos.Errorf("root element %q is none of front-end, worker, roster, scenario, control, configuration", root.name)
 	}
 	return root.name, err
 }
@@ -444,7 +457,7 @@
 	var out []engine.Method
 	for _, m := range s.Methods {
 		out = append(out, engine.Method{Name: m.Name, Effect: m.Effect, Group: m.Group, Gain: m.Gain,
-			Deadline: m.Deadline, Soft: m.Soft, Batch: m.Batch, Wait: m.BatchWait, Bytes: m.Payload})
+			Deadline: m.Deadline, Soft: m.Soft, Batch: m.Batch, Wait: m.BatchWait, Bytes: m.Payload, Gone: m.Gone})
 	}
 	return out
 }
--- a/internal/settings/write.go
+++ b/internal/settings/write.go
@@ -51,11 +51,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(b, " %s=\"", attr)
-		if err := xml.EscapeText(b, []byte(text)); err != nil {
-			return err
-		}
-		b.WriteByte('"')
+		fmt.Fprintf(b, " %s=\"%s\"", attr, escape(text))
 	}
 	if !children {
 		b.WriteString("/>\n")
@@ -73,6 +69,12 @@
 	return nil
 }
 
+func escape(text string) string {
+	var b bytes.Buffer
+	_ = xml.EscapeText(&b, []byte(text)) // a buffer takes all
+	return b.String()
+}
+
 func attrText(v reflect.Value) (string, error) {
 	if t, is := v.Interface().(router.Time); is {
 		return strings.TrimSuffix(strconv.FormatFloat(float64(t)/10, 'f', 1, 64), ".0"), nil
--- a/router/router.go
+++ b/router/router.go
@@ -176,24 +176,72 @@
 
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
-	r := &Router{port: port, now: now, set: s, rng: rand.New(rand.NewSource(seed)),
-		workers: map[WorkerID]*worker{}, fns: map[FunctionID]*function{}, zone: ZoneID(s.num("zone", 0)),
-		born: now, turn: now, slow: 1, real: 1}
+	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
+		fns: map[FunctionID]*function{}, born: now, turn: now, slow: 1, real: 1}
+	r.heed(s)
+	if port.Remind(beat, 0); s.word("list") == "asked" {
+		port.Listen()
+	}
+	return r
+}
+
+// heed reads methods and customers, and keeps what was learned of those known before.
+func (r *Router) heed(s Settings) {
+	r.set, r.zone = s, ZoneID(s.num("zone", 0))
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
-		r.methods = append(r.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
+		m := &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
 			soft:   s.span(at+"soft-deadline", sec),
 			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
-			work: float64(priorWork)})
+			work: float64(priorWork)}
+		if i == len(r.methods) {
+			r.methods = append(r.methods, m)
+			continue
+		}
+		was := r.methods[i]
+		m.work, m.cost = was.work, was.cost
+		was.effect, was.group, was.window = Stricter(was.effect, was.group, was.window, m.effect, m.group, m.window)
+		r.methods[i] = m
 	}
 	for i := range int(s.num("customers", 0)) {
 		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / r.frontEnds() / float64(sec)
-		r.customers = append(r.customers, &customer{quota: quota, tokens: quota * float64(sec), at: now})
+		if i == len(r.customers) {
+			r.customers = append(r.customers, &customer{tokens: quota * float64(sec), at: r.now})
+		}
+		r.customers[i].quota = quota
 	}
-	if port.Remind(beat, 0); s.word("list") == "asked" {
-		port.Listen()
+}
+
+// Stricter is what binds an RPC that was taken before its method's settings changed: nothing is promised to
+// it that either does not promise. Where the effect became graver it may lack the token: it never runs twice.
+func Stricter(effect, group string, window Time, effect2, group2 string, window2 Time) (_, _ string, _ Time) {
+	effects, groups := []string{Idempotent, Tokened, SideEffecting}, []string{"all", "zone", "cell"}
+	if slices.Index(effects, effect2) > slices.Index(effects, effect) {
+		return SideEffecting, "", 0
+	} else if effect == Tokened && effect2 == Tokened {
+		group = groups[max(slices.Index(groups, group), slices.Index(groups, group2))]
+		return effect, group, min(window, window2)
+	}
+	return effect, group, window
+}
+
+// Renew takes new settings between two turns. Methods, customers, zones and kinds keep their places, new ones
+// follow. What was learned stays; where a rule looks further back now, what is forgotten counts as used up.
+func (r *Router) Renew(now Time, s Settings) {
+	r.now, r.dirty = now, true
+	orders, fall := r.set.span("functions.load-window", 0), r.set.span("rules.fall", sec)
+	warm := slices.DeleteFunc(slices.Clone(r.list), r.cold)
+	r.heed(s)
+	if s.span("functions.load-window", 0) > orders {
+		for range int(s.num("functions.load-free", 0)) {
+			r.orders = append(r.orders, now)
+		}
+	}
+	for _, w := range r.list {
+		if r.cold(w) && (s.span("rules.fall", sec) > fall || slices.Contains(warm, w)) {
+			w.sent = append(w.sent, callOut{at: now, cost: math.Inf(1)})
+		}
 	}
-	return r
 }
 
 // ListBegins, Listed and ListEnds bring the list of workers, or its changes.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -13,6 +14,7 @@
 // the first scenario holds for all of the file.
 //
 //	set NAME VALUE            a setting, before the first other step
+//	renew                     takes the settings anew, those set since among them
 //	list FORM W[:STATE[:START[:ZONE[:CELL]]]] ...   a list of workers (START in ms)
 //	pause MS                  nothing comes for so long; the next step is in the batch of the timers then due
 //	at T                      time goes on to T ms; the module's timers come as they fall due
@@ -97,7 +99,7 @@
 			t.Fatalf("line %d, before %q: also did %q", i+2, line, s.did)
 		}
 		if f[0] != "set" && s.router == nil {
-			s.router = New(s, s.now, 2, s.set)
+			s.router = New(s, s.now, 2, maps.Clone(s.set))
 		}
 		if err := s.step(f, line); err != nil {
 			t.Fatalf("line %d, %q: %v", i+2, line, err)
@@ -141,6 +143,9 @@
 		return WorkerID(number(s.t, text))
 	}
 	switch f[0] {
+	case "renew": // the settings as they are now, with those set since
+		next := maps.Clone(s.set)
+		s.router.Renew(s.now, next)
 	case "set":
 		switch v, err := strconv.ParseFloat(f[2], 64); {
 		case f[2] == "yes":
