Configuration tests, rehearsals with changes, and an elected instance that knows all first

The service and the follower needed the failures that they exist for: a split with a submit on each side, stale and lost answers, death between write and ACK, a restored store, spoilt and full disks, changes under RPCs at work. An instance just elected told its versions before it had applied what others had acknowledged: it now leads only once it has. Settings are read before the turn that takes them over.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -256,6 +256,8 @@
 	Flood     bool          `help:"Measure single RPCs beside a flooding neighbour instead."`
 	Batching  bool          `help:"Measure batches of up to eight and none under rising load instead."`
 	Fronts    bool          `help:"Measure JSON-RPC, HTTP and gRPC on one function, with tensors of 1 KiB and 1 MiB, instead."`
+	Config    bool          `help:"Measure how soon followers have a configuration, and the pause that it makes, instead."`
+	Crashes   int           `help:"Kill a control service so many times while it numbers versions, instead."`
 	Work      time.Duration `default:"0s" help:"What an RPC takes at a worker."`
 	Rate      float64       `help:"RPCs a second of the open loop; by default half of what the front end reached."`
 }
@@ -271,6 +273,12 @@
 	if c.Batching {
 		return measure.Batching(e.ctx, exe, o, []float64{200, 400, 800, 1200, 1600}, e.out)
 	}
+	if c.Config {
+		return measure.Configuration(e.ctx, exe, []int{3, 30, 300}, 5000, e.out)
+	}
+	if c.Crashes > 0 {
+		return measure.Crashes(e.ctx, exe, c.Crashes, e.out)
+	}
 	if c.Fronts {
 		return measure.Fronts(e.ctx, exe, o, []int{1 << 10, 1 << 20}, e.out)
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
@@ -15,7 +16,10 @@
 )
 
 // lookAgain is the pause before all instances are asked again who leads.
-const lookAgain = 50 * time.Millisecond
+const lookAgain = 10 * time.Millisecond
+
+// redial is how soon an instance is looked for again that was not there: one that begins anew takes some ten ms.
+var redial = backoff.Config{BaseDelay: 10 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 300 * time.Millisecond}
 
 // Client reaches the instance that leads.
 type Client struct {
@@ -31,6 +35,7 @@
 	c := &Client{sockets: sockets}
 	for _, socket := range sockets {
 		cc, err := grpc.NewClient("unix:"+socket, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: time.Second}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(textBound), grpc.MaxCallSendMsgSize(textBound)))
 		if err != nil {
 			c.Close()
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -198,7 +199,7 @@
 	m       *machine
 	ctx     context.Context
 	reports chan rollout.Report
-	settled bool
+	term    atomic.Uint64 // in which this instance leads and knows all that was agreed on before
 
 	mu    sync.Mutex
 	parts map[rollout.Version][]settings.Part
@@ -299,7 +300,11 @@
 	return len(b), nil
 }
 
-func (s *service) leads() bool { return s.raft.State() == raft.Leader }
+// leads: an instance that was just elected may not have applied yet what others told before; until it has, it tells
+// nobody anything.
+func (s *service) leads() bool {
+	return s.raft.State() == raft.Leader && s.raft.CurrentTerm() == s.term.Load()
+}
 
 // errNotLeader tells who leads.
 func (s *service) errNotLeader() error {
@@ -364,6 +369,13 @@
 			return
 		case <-ticker.C:
 		}
+		term := s.raft.CurrentTerm()
+		if s.raft.State() == raft.Leader && s.term.Load() != term {
+			// the settings are this instance's now; and once they are agreed on, all before them is applied
+			if _, err := s.agree(command{Set: &set}); err == nil {
+				s.term.Store(term)
+			}
+		}
 		leads := s.leads()
 		if leads != led {
 			s.log.Info().Bool("leads", leads).Msg("lead")
@@ -371,12 +383,7 @@
 		s.m.mu.Lock()
 		wants := s.m.state.Wants(s.m.clock)
 		s.m.mu.Unlock()
-		switch {
-		case leads && !led:
-			if _, err := s.agree(command{Set: &set}); err != nil {
-				leads = false // again in a while
-			}
-		case leads && wants:
+		if leads && wants {
 			_, _ = s.agree(command{}) // what fails is tried again
 		}
 		led = leads
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -187,15 +187,15 @@
 	e.orderBy = router.Time(number(terms.Path(terms.Functions, terms.OrderTimeOut)))
 }
 
-// Renew takes new settings; in a turn. Methods are all that there are, at their places; RPCs taken before are bound by
+// Renew takes new settings, as they are and as the module reads them; in a turn. Methods are all that there are, at their places; RPCs taken before are bound by
 // the stricter of both.
-func (e *Engine) Renew(s router.Settings, methods []Method) {
+func (e *Engine) Renew(s router.Settings, p router.Prepared, methods []Method) {
 	e.heed(s)
 	for _, p := range e.rpcs {
 		m := &methods[p.place]
 		p.leave.Bind(m.Effect, m.Group)
 	}
-	e.core.Renew(e.now, s)
+	e.core.Renew(e.now, p)
 }
 
 // Begin begins a turn.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,7 +53,7 @@
 type Desk struct {
 	o        Options
 	engine   *engine.Engine
-	service  atomic.Pointer[service]
+	service  atomic.Pointer[Service]
 	now      router.Time
 	timers   turn.Timers
 	gate     *limits.Gate
@@ -63,22 +63,23 @@
 	stopping bool
 }
 
-// service is what RPCs may ask for. It is replaced whole.
-type service struct {
+// Service is what RPCs may ask for. It is replaced whole.
+type Service struct {
 	list      []engine.Method // by place
 	methods   map[string]int  // without those that are gone
 	customers map[string]int
 	function  func(method int, name string) engine.Function
 }
 
-func newService(o *Options) *service {
-	s := &service{list: o.Methods, methods: map[string]int{}, customers: map[string]int{}, function: o.Function}
-	for i, m := range o.Methods {
+// Prepare makes a service of methods and customers by place, those without a name gone; that needs no turn.
+func Prepare(methods []engine.Method, customers []string, function func(int, string) engine.Function) *Service {
+	s := &Service{list: methods, methods: map[string]int{}, customers: map[string]int{}, function: function}
+	for i, m := range methods {
 		if !m.Gone {
 			s.methods[m.Name] = i
 		}
 	}
-	for i, c := range o.Customers {
+	for i, c := range customers {
 		if c != "" {
 			s.customers[c] = i
 		}
@@ -90,16 +91,14 @@
 func NewDesk(e *engine.Engine, o Options) *Desk {
 	d := &Desk{o: o, engine: e, gate: limits.New(o.Gate), repeats: repeats.New[*Ask](),
 		works: map[*repeats.Group[*Ask]]*work{}}
-	d.service.Store(newService(&o))
+	d.service.Store(Prepare(o.Methods, o.Customers, o.Function))
 	return d
 }
 
-// Renew takes new methods, customers and bounds; in a turn. Methods and customers keep their places; one that is gone
+// Renew takes a new service and new bounds; in a turn. Methods and customers keep their places; one that is gone
 // keeps it for the RPCs that have it. An RPC that waits at the gate goes by the new settings, or is refused by them.
-func (d *Desk) Renew(methods []engine.Method, customers []string, function func(int, string) engine.Function,
-	gate limits.Settings) {
-	d.o.Methods, d.o.Customers, d.o.Function, d.o.Gate = methods, customers, function, gate
-	d.service.Store(newService(&d.o))
+func (d *Desk) Renew(s *Service, gate limits.Settings) {
+	d.service.Store(s)
 	d.gate.Renew(gate)
 }
 
@@ -233,7 +232,7 @@
 		reply.Denied("denied: this front end is leaving", 0)
 		return a
 	}
-	method := &d.o.Methods[p.Method]
+	method := d.MethodAt(p.Method)
 	left := method.Deadline
 	if p.Time >= 0 {
 		left = min(left, router.Time(math.Min(p.Time*10, math.MaxInt32)))
@@ -268,7 +267,7 @@
 		a.reply.Refused(err.Error())
 		return
 	}
-	method := &d.o.Methods[a.p.Method]
+	method := d.MethodAt(a.p.Method)
 	w := &work{d: d, lead: a}
 	if method.Effect == router.Tokened {
 		key := repeats.Key{Method: method.Name, Customer: a.p.Customer, Token: a.p.Token}
@@ -299,7 +298,7 @@
 	}
 	a.work = w
 	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.service.Load().customers[a.p.Customer]),
-		a.p.Function, d.o.Function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob,
+		a.p.Function, d.service.Load().function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob,
 		client)
 }
 
--- a/internal/gateway/configured.go
+++ b/internal/gateway/configured.go
@@ -24,6 +24,7 @@
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/steer"
 	"mallowlanding/internal/turn"
+	"mallowlanding/router"
 )
 
 // listenAgain is how often a socket of the kept configuration is tried that a predecessor still serves.
@@ -275,11 +276,12 @@
 	if c.ks != nil {
 		models = modelsOf(next)
 	}
+	prepared, service := router.Prepare(module), front.Prepare(methods, customers, function)
 	done := make(chan struct{})
 	if !c.loop.Post(func() {
 		begin := time.Now()
-		c.e.Renew(module, methods)
-		c.desk.Renew(methods, customers, function, gate(next))
+		c.e.Renew(module, prepared, methods)
+		c.desk.Renew(service, gate(next))
 		if c.ks != nil {
 			c.ks.Renew(models)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,8 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"mallowlanding/internal/control"
+	"mallowlanding/internal/control/wire"
 	"mallowlanding/internal/jsonrpc/jsontest"
 	"mallowlanding/internal/settings"
 )
@@ -33,7 +35,7 @@
 //	changes W=STATE ...       the roster tells changes
 //	start                     the front end runs; it runs already at the first step of a client
 //	stop | left               the front end is told to stop; it has left
-//	C dials [deaf]            a client connects; deaf: it reads nothing until 'C reads'
+//	C dials [deaf|SOCKET]     a client connects; deaf: it reads nothing until 'C reads'
 //	C >* N TEXT | C <* N      it sends TEXT N times, and goes on meanwhile; it gets N lines
 //	C cut                     it gets the end of the stream, whatever comes before
 //	X > TEXT                  X sends TEXT and a line's end; X >> "GO STRING" sends it as it is
@@ -42,6 +44,13 @@
 //	X nothing MS              X gets nothing for so long
 //	X closes|half-closes|ends X closes; closes its sending side; gets the end of the stream
 //	W stops                   the worker closes all and serves no more
+//	config ok XML             a control service serves from the first such step on, or 'control up'; it numbers the
+//	                          configuration (the service's elements, then after '|' the others; $DIR: the folder),
+//	                          which is accepted
+//	config no TEXT XML        it is turned down, and the reason holds TEXT
+//	control up|down           the control service serves, or is away
+//	cut-file|flip-file|full-file NAME   half of the file is lost, a bit of it changed, nothing can be written there
+//	runs VERSION FROM         the front end tells that it runs it: from service, disk or own
 //	wait MS
 //
 // $ID in a TEXT is the id that was bound; $BIG a string of a million bytes,
@@ -177,6 +186,8 @@
 	cancel   context.CancelFunc
 	done     chan error
 	finished bool
+	control  context.CancelFunc
+	ended    chan error
 }
 
 func hold(t *testing.T, steps string) {
@@ -209,11 +220,140 @@
 			t.Error(err)
 		}
 	}
+	if err := k.controlDown(); err != nil {
+		t.Error(err)
+	}
 	for _, s := range k.servers {
 		s.stop()
 	}
 }
 
+func (k *talk) controlUp() error {
+	if k.control != nil {
+		return nil
+	}
+	file := filepath.Join(k.dir, "control.xml")
+	text := fmt.Sprintf(`<control name="c" socket=%q peer-socket=%q dir=%q beat-ms="20"><rollout stages="1" hold-ms="0"/></control>`,
+		k.path("control"), k.path("peer"), filepath.Join(k.dir, "store"))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	c, err := settings.ReadControl(file)
+	if err != nil {
+		return err
+	}
+	var ctx context.Context
+	ctx, k.control = context.WithCancel(context.Background())
+	k.ended = make(chan error, 1)
+	ready := make(chan struct{})
+	go func() { k.ended <- control.Serve(ctx, c, zerolog.Nop(), func() { close(ready) }) }()
+	select {
+	case <-ready:
+		return nil
+	case err := <-k.ended:
+		return err
+	}
+}
+
+func (k *talk) controlDown() error {
+	if k.control == nil {
+		return nil
+	}
+	k.control()
+	k.control = nil
+	return <-k.ended
+}
+
+// config has a configuration numbered and waits for its end.
+func (k *talk) config(line string) error {
+	if err := k.controlUp(); err != nil {
+		return err
+	}
+	head, body, _ := strings.Cut(line, "<")
+	service, more, _ := strings.Cut("<"+strings.ReplaceAll(body, "$DIR", k.dir), "|")
+	service += `<functions orders="no"/>`
+	w, err := control.Dial([]string{k.path("control")})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	ctx, end := context.WithTimeout(context.Background(), 2*patience)
+	defer end()
+	v, err := w.Submit(ctx, &wire.SubmitRequest{Text: "<configuration><service>" + service + "</service>" + more + "</configuration>", Unchecked: true})
+	if err != nil {
+		return err
+	}
+	for ; ; time.Sleep(5 * time.Millisecond) {
+		_, st, err := w.Leader(ctx)
+		if err != nil {
+			return err
+		}
+		for _, s := range st.Versions {
+			want, ok := strings.CutPrefix(strings.TrimSpace(head), "config no ")
+			switch {
+			case s.Version != v:
+			case s.State == "accepted" && !ok:
+				return nil
+			case s.State == "withdrawn" && ok && strings.Contains(s.Reason, want):
+				return nil
+			case s.State != "rolling" && s.State != "waiting":
+				return fmt.Errorf("version %d is %s: %s", v, s.State, s.Reason)
+			}
+		}
+	}
+}
+
+// spoil cuts a file to its half, changes a byte of it, or makes the place such that nothing can be written there.
+func (k *talk) spoil(how, file string) error {
+	if how == "full-file" {
+		return os.Mkdir(file+".new", 0o700)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if how == "cut-file" {
+		raw = raw[:len(raw)/2]
+	} else {
+		raw[len(raw)/2] ^= 4
+	}
+	return os.WriteFile(file, raw, 0o600)
+}
+
+// runs asks the front end for its status.
+func (k *talk) runs(version, from string) error {
+	nc, err := net.Dial("unix", k.path("front"))
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	last := ""
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if _, err := io.WriteString(nc, `{"jsonrpc":"2.0","id":1,"method":"rpc.status"}`+"\n"); err != nil {
+			return err
+		}
+		raw, err := in.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		var a struct {
+			Result Status `json:"result"`
+		}
+		if err := json.Unmarshal([]byte(raw), &a); err != nil {
+			return err
+		}
+		if a.Result.Config == nil {
+			return fmt.Errorf("no configuration in %s", raw)
+		}
+		last = fmt.Sprintf("%d %s", a.Result.Config.Version, strings.Fields(a.Result.Config.From)[0])
+		if last == version+" "+from {
+			return nil
+		}
+	}
+	return fmt.Errorf("it runs %s", last)
+}
+
 func (k *talk) left() error {
 	if k.finished {
 		return nil
@@ -254,13 +394,18 @@
 	if k.set["functions.orders"] == "" {
 		k.set["functions.orders"] = "no"
 	}
+	at := ""
+	if k.set["control.keep"] != "" {
+		at = fmt.Sprintf(`<control sockets=%q keep=%q redial-min-ms="10" redial-max-ms="50" figures-every-ms="50"/>`, k.path("control"),
+			filepath.Join(k.dir, k.set["control.keep"]))
+	}
 	text := fmt.Sprintf(`<front-end name="front"><clients socket=%q%s>%s</clients><workers redial-max-ms="100"/>
-<roster socket=%q cache=%q/><service>
+<roster socket=%q cache=%q/>%s<service>
 <method name="query" effect="idempotent" deadline-ms="2000"%s/>
 <method name="book" effect="tokened" group="all" window-ms="2000" deadline-ms="1000"/>
 <method name="hold" effect="side-effecting" deadline-ms="1000"/>
 <functions%s/></service></front-end>`, k.path("front"), k.attributes(""), k.allow(), k.path("roster"),
-		filepath.Join(k.dir, "list"), k.attributes("methods"), k.attributes("functions"))
+		filepath.Join(k.dir, "list"), at, k.attributes("methods"), k.attributes("functions"))
 	file := filepath.Join(k.dir, "front.xml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -325,6 +470,17 @@
 		return k.list(f)
 	case "start":
 		return k.start()
+	case "config":
+		return k.config(line)
+	case "runs":
+		return k.runs(f[1], f[2])
+	case "control":
+		if f[1] == "up" {
+			return k.controlUp()
+		}
+		return k.controlDown()
+	case "cut-file", "flip-file", "full-file":
+		return k.spoil(f[0], filepath.Join(k.dir, f[1]))
 	case "stop":
 		k.cancel()
 		return nil
@@ -336,7 +492,11 @@
 		return err
 	}
 	if f[1] == "dials" {
-		nc, err := net.Dial("unix", k.path("front"))
+		socket := "front"
+		if len(f) > 2 && f[2] != "deaf" {
+			socket, f = f[2], f[:2]
+		}
+		nc, err := net.Dial("unix", k.path(socket))
 		if err == nil {
 			k.peers[f[0]] = &peer{nc: nc, lines: make(chan string, 1<<16)}
 			if len(f) == 2 {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -35,6 +35,7 @@
 	Payload     int // bytes
 	Functions   int
 	Work        time.Duration // of each RPC at a worker
+	Control     string        // the front end's control element; empty: none
 	Rate        float64       // RPCs a second of the open loop; 0: half of what the front end reached
 }
 
@@ -245,9 +246,9 @@
 	docs := map[string]string{
 		"roster": fmt.Sprintf(`<roster socket="%s/roster.sock" lag-ms="0"/>`, dir),
 		"front": fmt.Sprintf(`<front-end name="front"><clients socket="%[1]s/front.sock" open="100000" %[2]s/>%[3]s<workers value-bytes="67108864"/>
-<roster socket="%[1]s/roster.sock"/><service>
+<roster socket="%[1]s/roster.sock"/>%[6]s<service>
 <method name="query" effect="idempotent" memory-mb="16" lanes="64" load-ms="300" soft-deadline-ms="%[4]d" batch="%[5]d"/><kind name="std" memory-mb="4096"/>
-<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits, kserve, softMs, max(o.Batch, 1)),
+<functions keep-alive-ms="600000"/></service></front-end>`, dir, limits, kserve, softMs, max(o.Batch, 1), o.Control),
 	}
 	command := map[string]string{"roster": "roster", "front": "serve"}
 	order := []string{"roster"}
--- /dev/null
+++ b/internal/rehearse/config.go
@@ -0,0 +1,172 @@
+package rehearse
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"mallowlanding/internal/control"
+	"mallowlanding/internal/control/wire"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// configs is what became of the configurations that a day submitted.
+type configs struct {
+	mu        sync.Mutex
+	bad       map[uint64]bool // by version
+	submitted int
+	failed    int // the service could not be reached, or said that it may have taken it
+
+	Accepted    int
+	BadAccepted []uint64
+	States      map[string]int
+	Runs        map[string]uint64 // what front ends run at the end
+}
+
+// configure submits a configuration so many times a second, a share of them bad.
+func (m *maker) configure(ctx context.Context, t settings.Trouble, rng *rand.Rand) error {
+	c, err := control.Dial(m.f.controlSockets())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	ctx, end := context.WithTimeout(ctx, turn.Duration(t.For))
+	defer end()
+	every := time.Duration(float64(time.Second) / max(t.Size, 0.001))
+	for n := 0; sleep(ctx, every); n++ {
+		bad := rng.Float64() < t.Part
+		text, err := configurationOf(m.f.s, m.f.dir, n, bad, rng)
+		if err != nil {
+			return err
+		}
+		// one after the other: a service that is slow takes fewer
+		v, err := c.Submit(ctx, &wire.SubmitRequest{Text: text, By: "rehearsal", Unchecked: true})
+		m.configs.mu.Lock()
+		if m.configs.submitted++; err != nil {
+			m.configs.failed++
+		} else {
+			if m.configs.bad == nil {
+				m.configs.bad = map[uint64]bool{}
+			}
+			m.configs.bad[v] = bad
+		}
+		m.configs.mu.Unlock()
+	}
+	return nil
+}
+
+// configurationOf is the day's service with something changed: what does no harm, or what no front end may take.
+func configurationOf(s *settings.Scenario, dir string, n int, bad bool, rng *rand.Rand) (string, error) {
+	next := s.Service
+	next.Methods = append([]settings.Method(nil), s.Service.Methods...)
+	next.CallOuts.ComeBack += 1 + router.Time(n%50)
+	switch n % 4 { // a method comes, and goes with the next
+	case 0:
+		extra := next.Methods[0]
+		extra.Name = fmt.Sprintf("extra-%d", n)
+		next.Methods = append(next.Methods, extra)
+	case 1:
+		next.Functions.Some = append([]settings.Function{{Name: fmt.Sprintf("fn-%d", n), Lanes: 2}}, next.Functions.Some...)
+	}
+	more := ""
+	switch {
+	case n%4 == 2:
+		more = fmt.Sprintf("  <limits whole-open=\"%d\" open=\"100000\"/>\n", 19000+n)
+	case n%4 == 3:
+		more = "  <limits open=\"100000\"/>\n  <listener name=\"more\" socket=\"" + dir + "/FRONT.more" + "\"/>\n"
+	}
+	if bad {
+		switch rng.Intn(4) {
+		case 0: // figures that don't fit each other
+			next.Methods[0].Soft = next.Methods[0].Deadline + 10
+		case 1: // a reference to nothing
+			more = "  <group name=\"g\" zone=\"nowhere\"><worker name=\"x\" socket=\"/nowhere\"/></group>\n"
+		case 2: // out of range
+			next.Methods[0].Lanes = 0
+		case 3: // no service at all
+			next.Methods = nil
+		}
+	}
+	text, err := settings.Text("service", next)
+	return "<configuration>\n" + text + more + "</configuration>\n", err
+}
+
+// killControl kills an instance; it is back after a time.
+func (m *maker) killControl(ctx context.Context, i int, away time.Duration) error {
+	p := m.f.signal(instance(i), syscall.SIGKILL)
+	<-p.done
+	sleep(ctx, away)
+	return m.f.startInstance(ctx, i)
+}
+
+func (m *maker) silence(ctx context.Context, span time.Duration) error {
+	for i := range m.f.s.Fleet.Control.Instances {
+		m.f.signal(instance(i), syscall.SIGSTOP)
+	}
+	sleep(ctx, span)
+	for i := range m.f.s.Fleet.Control.Instances {
+		m.f.signal(instance(i), syscall.SIGCONT)
+	}
+	return nil
+}
+
+// look reads the end of the day's configurations.
+func (c *configs) look(ctx context.Context, f *fleet) error {
+	if c.submitted == 0 {
+		return nil
+	}
+	w, err := control.Dial(f.controlSockets())
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	ctx, end := context.WithTimeout(ctx, 10*time.Second)
+	defer end()
+	_, st, err := w.Leader(ctx)
+	if err != nil {
+		return err
+	}
+	c.States, c.Runs = map[string]int{}, map[string]uint64{}
+	for _, v := range st.Versions {
+		c.States[v.State]++
+		if v.State == "accepted" || v.State == "past" {
+			c.Accepted++
+			if c.bad[v.Version] {
+				c.BadAccepted = append(c.BadAccepted, v.Version)
+			}
+		}
+	}
+	for _, f := range st.Followers {
+		c.Runs[f.Name] = f.Version
+		if c.bad[f.Version] {
+			c.BadAccepted = append(c.BadAccepted, f.Version)
+		}
+	}
+	return nil
+}
+
+func (c *configs) String() string {
+	if c.submitted == 0 {
+		return ""
+	}
+	bad := 0
+	for _, is := range c.bad {
+		if is {
+			bad++
+		}
+	}
+	var states []string
+	for _, state := range []string{"accepted", "past", "withdrawn", "superseded", "rolling", "waiting"} {
+		if n := c.States[state]; n > 0 {
+			states = append(states, fmt.Sprintf("%d %s", n, state))
+		}
+	}
+	return fmt.Sprintf("configurations: %d submitted, %d not known to be taken, %d bad; %s; bad ones in force: %d; front ends run %v\n",
+		c.submitted, c.failed, bad, strings.Join(states, ", "), len(c.BadAccepted), c.Runs)
+}
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -136,6 +137,9 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	if err := f.startControl(ctx); err != nil {
+		return err
+	}
 	for i := range s.Fleet.FrontEnds {
 		fe := &settings.FrontEnd{Name: frontEnd(i), Number: i, Of: s.Fleet.FrontEnds, Seed: s.Seed + int64(i),
 			Service: s.Service}
@@ -143,8 +147,8 @@
 		file := f.path("%s.xml", fe.Name)
 		text := fmt.Sprintf(`<front-end name=%q number="%d" of="%d" seed="%d"%s>
   <clients socket=%q open="100000"/>%s
-  <roster socket=%q cache=%q/>
-`, fe.Name, i, fe.Of, fe.Seed, zoneAttr(s, i), f.socket(i), f.kserve(i), roster.Socket, f.path("%s.list", fe.Name))
+  <roster socket=%q cache=%q/>%s
+`, fe.Name, i, fe.Of, fe.Seed, zoneAttr(s, i), f.socket(i), f.kserve(i), roster.Socket, f.path("%s.list", fe.Name), f.controlAt(fe.Name))
 		service, err := settings.Text("service", fe.Service)
 		if err != nil {
 			return err
@@ -181,6 +185,57 @@
 
 func (f *fleet) grpcSocket(i int) string { return f.path("%s.grpc", frontEnd(i)) }
 
+func instance(i int) string { return fmt.Sprintf("control-%d", i) }
+
+// controlSockets are those of the control service's instances.
+func (f *fleet) controlSockets() (out []string) {
+	if c := f.s.Fleet.Control; c != nil {
+		for i := range c.Instances {
+			out = append(out, f.path("%s.sock", instance(i)))
+		}
+	}
+	return out
+}
+
+// controlAt is a front end's control element.
+func (f *fleet) controlAt(name string) string {
+	if f.s.Fleet.Control == nil {
+		return ""
+	}
+	return fmt.Sprintf("\n  <control sockets=%q keep=%q/>", strings.Join(f.controlSockets(), " "), f.path("%s.kept", name))
+}
+
+// startControl runs the control service, where the fleet has one.
+func (f *fleet) startControl(ctx context.Context) error {
+	c := f.s.Fleet.Control
+	if c == nil {
+		return nil
+	}
+	var group errgroup.Group
+	for i := range c.Instances {
+		doc := &settings.Control{Name: instance(i), Socket: f.path("%s.sock", instance(i)), Peers: f.path("%s.peer", instance(i)),
+			Dir: f.path("%s.store", instance(i)), Beat: c.Beat, Roll: c.Roll}
+		for j := range c.Instances {
+			if j != i {
+				doc.Others = append(doc.Others, settings.Instance{Name: instance(j), Socket: f.path("%s.peer", instance(j))})
+			}
+		}
+		if err := settings.Write(f.path("%s.xml", instance(i)), "control", doc); err != nil {
+			return err
+		}
+		group.Go(func() error { return f.startInstance(ctx, i) })
+	}
+	return group.Wait()
+}
+
+func (f *fleet) startInstance(ctx context.Context, i int) error {
+	p, err := f.start(instance(i), "control", f.path("%s.xml", instance(i)))
+	if err != nil {
+		return err
+	}
+	return awaitSocket(ctx, f.path("%s.sock", instance(i)), p)
+}
+
 func (f *fleet) httpSocket(i int) string { return f.path("%s.http", frontEnd(i)) }
 
 func zoneAttr(s *settings.Scenario, i int) string {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -37,6 +37,7 @@
 	Waste   audit.Wasted
 	Methods map[string]*tally
 	Seconds []*tally
+	Configs *configs
 }
 
 // Run plays a scenario with the program's own executable and prints its table. Keep names a folder in which all that
@@ -51,7 +52,7 @@
 		return err
 	}
 	o.print(out, s)
-	if len(o.Audit.Breaks) > 0 {
+	if len(o.Audit.Breaks) > 0 || len(o.Configs.BadAccepted) > 0 {
 		return ErrBroken
 	}
 	return nil
@@ -111,6 +112,9 @@
 	<-troubles
 	// what was sent last is answered before its time is up, or a rule breaks
 	sleep(ctx, longest+turn.Duration(s.Slack))
+	if err := m.configs.look(ctx, f); err != nil {
+		log.Warn().Err(err).Msg("the control service does not tell how the day's configurations ended")
+	}
 	f.stop(longest + time.Second)
 	stopped = true
 	end()
@@ -135,7 +139,7 @@
 	}
 	all := append(seen, theirs...)
 	return &Outcome{Audit: audit.Check(figures(s), all), Waste: audit.Waste(all, leftMargin), Methods: c.methods,
-		Seconds: c.seconds}, ctx.Err()
+		Seconds: c.seconds, Configs: &m.configs}, ctx.Err()
 }
 
 func figures(s *settings.Scenario) audit.Figures {
@@ -209,6 +213,7 @@
 	a := o.Audit
 	fmt.Fprintf(out, "seen by clients, workers and roster: %d RPCs, %d answers, %d call-outs, %d load orders, %d effects\n",
 		a.RPCs, a.Answers, a.CallOuts, a.Orders, a.Effects)
+	fmt.Fprint(out, o.Configs)
 	if q := o.Waste; q.Quits > 0 {
 		fmt.Fprintf(out, "%d clients left: work begun later than %d ms after that %d times, %.0f ms; work past that %.0f ms of %.0f, %.2f%%\n",
 			q.Quits, leftMargin, q.Late, q.Begun, q.Went, q.All, 100*q.Went/max(q.All, 1e-9))
--- a/internal/rehearse/trouble.go
+++ b/internal/rehearse/trouble.go
@@ -22,6 +22,7 @@
 	callers *callers
 	log     zerolog.Logger
 	wg      sync.WaitGroup
+	configs configs
 }
 
 // run plays all troubles at their times and returns once they are over.
@@ -149,6 +150,12 @@
 			}
 		}
 		return nil
+	case "config", "config-flood":
+		return m.configure(ctx, t, rng)
+	case "control-kill":
+		return m.killControl(ctx, rng.Intn(m.f.s.Fleet.Control.Instances), span)
+	case "control-silence": // all stand still, as behind a cut
+		return m.silence(ctx, span)
 	case "front-end-kill":
 		return m.killFront(ctx, rng.Intn(m.f.s.Fleet.FrontEnds), span)
 	case "front-end-roll":
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"strings"
 
 	"mallowlanding/router"
 )
@@ -31,6 +32,15 @@
 	Groups    []Group      `e:"workers" need:"yes"`
 	Work      []WorkMethod `e:"work" need:"yes"`
 	Store     *Store       `e:"store"`
+	Control   *ControlOf   `e:"control"`
+}
+
+// ControlOf is a fleet's control service.
+type ControlOf struct {
+	Pos
+	Instances int         `a:"instances" def:"3" min:"1" max:"7"`
+	Beat      router.Time `a:"beat-ms" def:"250" min:"20" max:"60000"`
+	Roll      Roll        `e:"rollout"`
 }
 
 // Group is some workers of one make.
@@ -77,7 +87,7 @@
 // Trouble is something that goes wrong at a time.
 type Trouble struct {
 	Pos
-	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close"`
+	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close config config-flood control-kill control-silence"`
 	At   router.Time `a:"at-ms" need:"yes" min:"0" max:"3600000"`
 	For  router.Time `a:"for-ms" def:"1000" min:"1" max:"3600000"`
 	Part float64     `a:"part" def:"0.15" min:"0" max:"1"`
@@ -110,6 +120,19 @@
 	if err := distinct(s.Fleet.Work, func(m WorkMethod) (string, Pos) { return m.Method, m.Pos }, "work of method"); err != nil {
 		return err
 	}
+	for _, t := range s.Troubles {
+		if (strings.HasPrefix(t.Kind, "config") || strings.HasPrefix(t.Kind, "control")) && s.Fleet.Control == nil {
+			return t.Errorf("trouble %q, but the fleet has no control element", t.Kind)
+		}
+	}
+	if c := s.Fleet.Control; c != nil {
+		if _, err := c.Roll.Shares(); err != nil {
+			return err
+		}
+		if c.Instances%2 == 0 {
+			return c.Errorf("%d instances: an odd number can lose one more", c.Instances)
+		}
+	}
 	sum := 0.0
 	for _, m := range s.Load.Mix {
 		if sum += m.Share; !known[m.Method] {
--- a/router/router.go
+++ b/router/router.go
@@ -178,33 +178,48 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
 		fns: map[FunctionID]*function{}, born: now, turn: now, slow: 1, real: 1}
-	r.heed(s)
+	r.now = now
+	r.heed(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
 		port.Listen()
 	}
 	return r
 }
 
-// heed reads methods and customers, and keeps what was learned of those known before.
-func (r *Router) heed(s Settings) {
-	r.set, r.zone = s, ZoneID(s.num("zone", 0))
+// Prepared is settings as the module reads them; that needs no turn.
+type Prepared struct {
+	set     Settings
+	methods []*method
+	quotas  []float64 // of customers: this front end's parts, per unit of time
+}
+
+// Prepare reads settings for New or Renew.
+func Prepare(s Settings) (p Prepared) {
+	p.set = s
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
-		m := &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
+		p.methods = append(p.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
 			soft:   s.span(at+"soft-deadline", sec),
 			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
-			work: float64(priorWork)}
-		if i == len(r.methods) {
-			r.methods = append(r.methods, m)
-			continue
-		}
-		was := r.methods[i]
+			work: float64(priorWork)})
+	}
+	for i := range int(s.num("customers", 0)) {
+		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0)
+		p.quotas = append(p.quotas, quota/max(1, s.num("front-ends", 1))/float64(sec))
+	}
+	return p
+}
+
+// heed takes methods and customers over, and keeps what was learned of those known before.
+func (r *Router) heed(p Prepared) {
+	r.set, r.zone = p.set, ZoneID(p.set.num("zone", 0))
+	for i, was := range r.methods {
+		m := p.methods[i]
 		m.work, m.cost = was.work, was.cost
 		was.effect, was.group, was.window = Stricter(was.effect, was.group, was.window, m.effect, m.group, m.window)
-		r.methods[i] = m
 	}
-	for i := range int(s.num("customers", 0)) {
-		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0) / r.frontEnds() / float64(sec)
+	r.methods = p.methods
+	for i, quota := range p.quotas {
 		if i == len(r.customers) {
 			r.customers = append(r.customers, &customer{tokens: quota * float64(sec), at: r.now})
 		}
@@ -227,11 +242,12 @@
 
 // Renew takes new settings between two turns. Methods, customers, zones and kinds keep their places, new ones
 // follow. What was learned stays; where a rule looks further back now, what is forgotten counts as used up.
-func (r *Router) Renew(now Time, s Settings) {
+func (r *Router) Renew(now Time, p Prepared) {
+	s := p.set
 	r.now, r.dirty = now, true
 	orders, fall := r.set.span("functions.load-window", 0), r.set.span("rules.fall", sec)
 	warm := slices.DeleteFunc(slices.Clone(r.list), r.cold)
-	r.heed(s)
+	r.heed(p)
 	if s.span("functions.load-window", 0) > orders {
 		for range int(s.num("functions.load-free", 0)) {
 			r.orders = append(r.orders, now)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -144,8 +144,7 @@
 	}
 	switch f[0] {
 	case "renew": // the settings as they are now, with those set since
-		next := maps.Clone(s.set)
-		s.router.Renew(s.now, next)
+		s.router.Renew(s.now, Prepare(maps.Clone(s.set)))
 	case "set":
 		switch v, err := strconv.ParseFloat(f[2], 64); {
 		case f[2] == "yes":
