--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -20,6 +20,7 @@
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/limits"
 	"mallowlanding/internal/sock"
+	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -455,7 +456,7 @@
 	if len(p.id) > 0 {
 		c.byID[string(p.id)] = p
 	}
-	p.ask = c.at().Take(ps, came, p)
+	p.ask = c.at().Take(ps, turn.Span(time.Since(came)), p)
 }
 
 // over notes that the RPC has its answer.
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,361 @@
+// Package day has what a scripted day is, whoever plays it: who asks for what and when, how clients try again, and the
+// table of what became of it. No I/O, no clock.
+package day
+
+import (
+	"fmt"
+	"io"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"mallowlanding/internal/audit"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// worstWindow is how many seconds the worst window has, as on the bench.
+const worstWindow = 10
+
+// leftMargin is how long after its client left work may still begin, in ms: two changes of process on a busy machine.
+const leftMargin = 20
+
+// Outcome is what a day brought.
+type Outcome struct {
+	Audit   audit.Result
+	Waste   audit.Wasted
+	Methods map[string]*Tally
+	Seconds []*Tally
+	Broken  bool   // something other than the five rules broke
+	Notes   string // lines of whoever played it
+}
+
+// Tally sums up what became of one method's first tries, each with its repeats.
+type Tally struct {
+	Asked, OK, Late, Denied, Aborted, Lost int
+	GainAsked, GainKept                    float64
+	latency                                *hdrhistogram.Histogram // of ok, in microseconds
+}
+
+// NewTally begins with nothing.
+func NewTally() *Tally { return &Tally{latency: hdrhistogram.New(1, 120e6, 3)} }
+
+// Book is a day's tallies while it goes on. It belongs to one goroutine.
+type Book struct {
+	Methods map[string]*Tally
+	Seconds []*Tally
+}
+
+// NewBook begins one.
+func NewBook(s *settings.Scenario) *Book {
+	b := &Book{Methods: map[string]*Tally{}}
+	for i := range s.Service.Methods {
+		b.Methods[s.Service.Methods[i].Name] = NewTally()
+	}
+	for range int(turn.Duration(s.Length)/time.Second) + 1 {
+		b.Seconds = append(b.Seconds, NewTally())
+	}
+	return b
+}
+
+// Count takes one first try with its repeats: due since the day began, ended took later.
+func (b *Book) Count(m *settings.Method, due time.Duration, outcome string, took time.Duration) {
+	at := min(int(due/time.Second), len(b.Seconds)-1)
+	for _, t := range []*Tally{b.Methods[m.Name], b.Seconds[at]} {
+		t.Asked++
+		t.GainAsked += m.Gain
+		switch outcome {
+		case OK:
+			t.OK++
+			if took <= turn.Duration(m.Soft) {
+				t.GainKept += m.Gain
+			} else {
+				t.Late++
+				t.GainKept += m.Gain * m.LateShare
+			}
+			_ = t.latency.RecordValue(min(took.Microseconds(), 120e6))
+		case Denied:
+			t.Denied++
+		case Aborted:
+			t.Aborted++
+		default:
+			t.Lost++
+		}
+	}
+}
+
+// Quantile is the latency of ok at p percent.
+func (t *Tally) Quantile(p float64) time.Duration {
+	return time.Duration(t.latency.ValueAtQuantile(p)) * time.Microsecond
+}
+
+// All sums up the methods.
+func (o *Outcome) All() *Tally {
+	all := NewTally()
+	for _, t := range o.Methods {
+		all.Add(t)
+	}
+	return all
+}
+
+// Outcomes as clients see them.
+const (
+	OK      = "ok"
+	Denied  = "denied"
+	Aborted = "aborted"
+	Lost    = "lost" // no answer
+	Quit    = "quit" // the client wants nothing any more
+)
+
+// Arrival is one RPC that a client wants.
+type Arrival struct {
+	N        int
+	At       time.Duration // since the day began
+	Seed     int64         // of the client's own chance
+	Mix      settings.Mix
+	Function string
+	Once     bool // nobody else asks for the function
+}
+
+// Arrivals are a day's, in their order: an open loop, the same ones for the same seed.
+type Arrivals struct {
+	s    *settings.Scenario
+	rng  *rand.Rand
+	zipf *rand.Zipf
+	n    int
+	at   time.Duration
+}
+
+// NewArrivals begins a day's.
+func NewArrivals(s *settings.Scenario) *Arrivals {
+	rng := rand.New(rand.NewSource(s.Seed))
+	return &Arrivals{s: s, rng: rng, zipf: rand.NewZipf(rng, s.Load.Zipf, 1, uint64(s.Load.Functions-1))}
+}
+
+// rateAt is the arrivals a second at a moment of the day, and the share that is for functions wanted once.
+func (a *Arrivals) rateAt(at router.Time) (rate, once float64) {
+	rate = a.s.Load.Rate
+	for _, t := range a.s.Troubles {
+		if at < t.At || at >= t.At+t.For {
+			continue
+		}
+		switch t.Kind {
+		case "burst":
+			rate *= t.Size
+		case "scan":
+			once = t.Part
+		}
+	}
+	return rate, once
+}
+
+// Next gives the next arrival; false: the day is over.
+func (a *Arrivals) Next() (Arrival, bool) {
+	if a.n >= a.s.Load.Most {
+		return Arrival{}, false
+	}
+	rate, once := a.rateAt(turn.Span(a.at))
+	a.at += time.Duration(a.rng.ExpFloat64() / rate * float64(time.Second))
+	if a.at >= turn.Duration(a.s.Length) {
+		return Arrival{}, false
+	}
+	out := Arrival{N: a.n, At: a.at, Mix: a.s.Load.Mix[len(a.s.Load.Mix)-1]}
+	for x, i := a.rng.Float64(), 0; i < len(a.s.Load.Mix); i++ {
+		if x -= a.s.Load.Mix[i].Share; x < 0 {
+			out.Mix = a.s.Load.Mix[i]
+			break
+		}
+	}
+	out.Function = fmt.Sprintf("%s-%d", out.Mix.Method, a.zipf.Uint64())
+	if out.Once = a.rng.Float64() < once; out.Once {
+		out.Function = fmt.Sprintf("%s-once-%d", out.Mix.Method, a.n)
+	}
+	out.Seed = a.rng.Int63()
+	a.n++
+	return out, true
+}
+
+// Client is how one client goes about its RPC.
+type Client struct {
+	Method *settings.Method
+	s      *settings.Callers
+	rng    *rand.Rand
+	Token  string
+	try    int
+	first  time.Duration // when it was first sent
+	sent   bool
+}
+
+// NewClient begins one; its chance is its own.
+func NewClient(s *settings.Scenario, m *settings.Method, a Arrival) *Client {
+	return &Client{Method: m, s: &s.Clients, rng: rand.New(rand.NewSource(a.Seed)), Token: fmt.Sprintf("t%d-%d", s.Seed, a.N)}
+}
+
+// Rand is the client's own chance.
+func (c *Client) Rand() *rand.Rand { return c.rng }
+
+// Try begins a try while left of its time is left: how long this try waits. False: it gives up.
+func (c *Client) Try(now, left time.Duration) (span time.Duration, repeat, goes bool) {
+	if left <= 0 || c.try > c.s.Retries {
+		return 0, false, false
+	}
+	span = time.Duration(float64(turn.Duration(c.Method.Deadline)) * (c.s.TryShare + (1-c.s.TryShare)*c.rng.Float64()))
+	if !c.sent {
+		c.sent, c.first = true, now
+	}
+	c.try++
+	return min(span, left), c.try > 1, true
+}
+
+// Again tells whether it tries again after an outcome, and how long it waits before: idempotent ones go again after any
+// failure, tokened ones of one group within their window, others only after a denial or where nothing was sent.
+func (c *Client) Again(now time.Duration, outcome string, sent bool, comeBack time.Duration) (wait time.Duration, again bool) {
+	m := c.Method
+	again = !sent || outcome == Denied || m.Effect == router.Idempotent ||
+		m.Effect == router.Tokened && m.Group == "all" && now-c.first < turn.Duration(m.Window)/2
+	if outcome == OK || outcome == Quit || !again {
+		return 0, false
+	}
+	wait = turn.Duration(c.s.BackOff)
+	if comeBack > 0 && c.rng.Float64() < c.s.Heed {
+		wait = comeBack
+	}
+	return time.Duration(float64(wait) * (0.5 + c.rng.Float64())), true
+}
+
+// Impatient tells whether it will leave before its answer comes, after how long, and by closing its connection.
+func (c *Client) Impatient() (after time.Duration, closes, is bool) {
+	is = c.rng.Float64() < c.s.Impatient
+	after = time.Duration(c.rng.Float64() * float64(turn.Duration(c.Method.Soft)))
+	return after, c.rng.Intn(2) == 0, is
+}
+
+// Front is the plain layer before the front ends: each in turn by chance, dead ones left out once that was noticed. Dead
+// tells since when one is known to be dead; below 0: it lives.
+func Front(rng *rand.Rand, n int, dead func(i int) time.Duration, notice time.Duration) int {
+	var alive []int
+	for i := range n {
+		if since := dead(i); since < notice {
+			alive = append(alive, i)
+		}
+	}
+	if len(alive) == 0 {
+		return rng.Intn(n)
+	}
+	return alive[rng.Intn(len(alive))]
+}
+
+// Judge audits a day's records.
+func Judge(s *settings.Scenario, records []record.Record, b *Book, notes string) *Outcome {
+	return &Outcome{Audit: audit.Check(Figures(s), records), Waste: audit.Waste(records, leftMargin), Methods: b.Methods,
+		Seconds: b.Seconds, Notes: notes}
+}
+
+// Figures are what a scenario's rules are held to.
+func Figures(s *settings.Scenario) audit.Figures {
+	r, fn := &s.Service.Rules, &s.Service.Functions
+	f := audit.Figures{Methods: map[string]audit.Method{}, Slack: float64(s.Slack) / 10, Drain: float64(r.Drain) / 10,
+		FallMultiple: r.FallMultiple, Fall: float64(r.Fall) / 10, Cold: float64(r.Cold) / 10,
+		LoadWindow: float64(fn.LoadWindow) / 10, LoadFree: fn.LoadFree, LoadShare: fn.LoadShare}
+	for _, m := range s.Service.Methods {
+		f.Methods[m.Name] = audit.Method{Effect: m.Effect, Group: m.Group, Window: float64(m.Window) / 10}
+	}
+	return f
+}
+
+// Kept is the share of gain kept of gain asked, over all methods.
+func (o *Outcome) Kept() float64 {
+	kept, asked := 0.0, 0.0
+	for _, t := range o.Methods {
+		kept, asked = kept+t.GainKept, asked+t.GainAsked
+	}
+	return kept / max(asked, 1e-9)
+}
+
+// worst is the window of seconds that kept least.
+func (o *Outcome) worst() (from int, share float64) {
+	share = 2
+	n := min(worstWindow, len(o.Seconds))
+	for i := 0; i+n <= len(o.Seconds); i++ {
+		kept, asked := 0.0, 0.0
+		for _, t := range o.Seconds[i : i+n] {
+			kept, asked = kept+t.GainKept, asked+t.GainAsked
+		}
+		if asked > 0 && kept/asked < share {
+			from, share = i, kept/asked
+		}
+	}
+	return from, share
+}
+
+// Print writes the table.
+func (o *Outcome) Print(out io.Writer, s *settings.Scenario) {
+	w := table.NewWriter()
+	w.SetOutputMirror(out)
+	w.SetStyle(table.StyleLight)
+	w.SetTitle("%s: first tries with their repeats; latency of ok from the first try on, ms", s.Name)
+	w.AppendHeader(table.Row{"", "RPCs", "ok", "late", "denied", "aborted", "no answer", "gain kept", "p50", "p99", "p99.9"})
+	row := func(name string, t *Tally) {
+		q := func(p float64) string { return fmt.Sprintf("%.1f", float64(t.latency.ValueAtQuantile(p))/1000) }
+		w.AppendRow(table.Row{name, t.Asked, t.OK, t.Late, t.Denied, t.Aborted, t.Lost,
+			fmt.Sprintf("%.3f", t.GainKept/max(t.GainAsked, 1e-9)), q(50), q(99), q(99.9)})
+	}
+	names := []string{}
+	for name := range o.Methods {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	all := NewTally()
+	for _, name := range names {
+		row(name, o.Methods[name])
+		all.Add(o.Methods[name])
+	}
+	w.AppendSeparator()
+	row("all", all)
+	w.AppendSeparator()
+	from, _ := o.worst()
+	window := NewTally()
+	for i := from; i < min(from+worstWindow, len(o.Seconds)); i++ {
+		row(fmt.Sprintf("second %d", i), o.Seconds[i])
+		window.Add(o.Seconds[i])
+	}
+	row(fmt.Sprintf("worst %d s", worstWindow), window)
+	w.Render()
+	a := o.Audit
+	fmt.Fprintf(out, "seen by clients, workers and roster: %d RPCs, %d answers, %d call-outs, %d load orders, %d effects\n",
+		a.RPCs, a.Answers, a.CallOuts, a.Orders, a.Effects)
+	fmt.Fprint(out, o.Notes)
+	if q := o.Waste; q.Quits > 0 {
+		fmt.Fprintf(out, "%d clients left: work begun later than %d ms after that %d times, %.0f ms; work past that %.0f ms of %.0f, %.2f%%\n",
+			q.Quits, leftMargin, q.Late, q.Begun, q.Went, q.All, 100*q.Went/max(q.All, 1e-9))
+	}
+	for rule := 1; rule <= 5; rule++ {
+		var breaks []audit.Break
+		for _, b := range a.Breaks {
+			if b.Rule == rule {
+				breaks = append(breaks, b)
+			}
+		}
+		fmt.Fprintf(out, "rule %d: %d breaks\n", rule, len(breaks))
+		for i, b := range breaks {
+			if i == 10 {
+				fmt.Fprintf(out, "  and %d more\n", len(breaks)-i)
+				break
+			}
+			fmt.Fprintf(out, "  %s %s: %s\n", time.Unix(0, b.T).UTC().Format("15:04:05.000"), b.RPC, b.Text)
+		}
+	}
+}
+
+// Add sums up.
+func (t *Tally) Add(o *Tally) {
+	t.Asked, t.OK, t.Late, t.Denied = t.Asked+o.Asked, t.OK+o.OK, t.Late+o.Late, t.Denied+o.Denied
+	t.Aborted, t.Lost = t.Aborted+o.Aborted, t.Lost+o.Lost
+	t.GainAsked, t.GainKept = t.GainAsked+o.GainAsked, t.GainKept+o.GainKept
+	t.latency.Merge(o.latency)
+}
--- a/internal/front/explore_test.go
+++ b/internal/front/explore_test.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/ident"
@@ -166,7 +165,7 @@
 func (w *world) ask(i int) {
 	w.asked[i] = true
 	w.turn(func() {
-		w.conns[i].Take(Params{Function: "f", Token: "t", Time: -1, Payload: []byte("1")}, time.Now(), &w.replies[i])
+		w.conns[i].Take(Params{Function: "f", Token: "t", Time: -1, Payload: []byte("1")}, 0, &w.replies[i])
 	})
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,7 +10,6 @@
 	"math"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/limits"
@@ -220,9 +219,9 @@
 	group *repeats.Group[*Ask]
 }
 
-// Take brings an RPC to the gate. Came is when it came in; what has passed since is taken off its time. The answer may
-// be given before Take returns; the handle is then over.
-func (c *Conn) Take(p Params, came time.Time, reply Reply) *Ask {
+// Take brings an RPC to the gate. Waited is how long ago it came in, which is taken off its time. The answer may be given
+// before Take returns; the handle is then over.
+func (c *Conn) Take(p Params, waited router.Time, reply Reply) *Ask {
 	d := c.d
 	a := &Ask{c: c, p: p, reply: reply}
 	if c.gone {
@@ -237,7 +236,7 @@
 	if p.Time >= 0 {
 		left = min(left, router.Time(math.Min(p.Time*10, math.MaxInt32)))
 	}
-	a.until = d.now + left - turn.Span(time.Since(came))
+	a.until = d.now + left - waited
 	t, refused, displaced := c.gate.Arrive(d.now, p.Function, int64(len(p.Payload)+len(p.Blob)), method.Gain, a)
 	if refused != nil {
 		reply.Denied(refused.Reason, refused.ComeBack)
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -384,7 +384,7 @@
 		if at.conn == nil {
 			at.conn = s.desk.Open(limits.PeerID(0))
 		}
-		ask = at.conn.Take(p, came, got)
+		ask = at.conn.Take(p, turn.Span(time.Since(came)), got)
 	}) {
 		got.Denied("denied: this front end has stopped", 0)
 	}
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-json-experiment/json/jsontext"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
@@ -26,6 +25,7 @@
 	"google.golang.org/grpc/status"
 
 	"mallowlanding/internal/clients"
+	"mallowlanding/internal/day"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/kserve/oip"
 	"mallowlanding/internal/record"
@@ -34,15 +34,6 @@
 	"mallowlanding/router"
 )
 
-// tally sums up what became of one method's first tries, each with its repeats.
-type tally struct {
-	Asked, OK, Late, Denied, Aborted, Lost int
-	GainAsked, GainKept                    float64
-	latency                                *hdrhistogram.Histogram // of ok, in microseconds
-}
-
-func newTally() *tally { return &tally{latency: hdrhistogram.New(1, 120e6, 3)} }
-
 // callers are the clients of a day: an open loop whose arrivals don't wait for answers.
 type callers struct {
 	s     *settings.Scenario
@@ -51,8 +42,7 @@
 	start time.Time
 
 	mu      sync.Mutex
-	methods map[string]*tally
-	seconds []*tally
+	book    *day.Book
 	pools   []*pool
 	dead    []time.Time // since when a front end is known to be dead
 	open    sync.WaitGroup
@@ -71,15 +61,11 @@
 }
 
 func newCallers(s *settings.Scenario, f *fleet, keep func(record.Record)) (*callers, error) {
-	c := &callers{s: s, fleet: f, keep: keep, methods: map[string]*tally{}, lookups: map[string]*settings.Method{},
+	c := &callers{s: s, fleet: f, keep: keep, book: day.NewBook(s), lookups: map[string]*settings.Method{},
 		dead: make([]time.Time, s.Fleet.FrontEnds)}
 	for i := range s.Service.Methods {
 		m := &s.Service.Methods[i]
 		c.lookups[m.Name] = m
-		c.methods[m.Name] = newTally()
-	}
-	for range int(turn.Duration(s.Length)/time.Second) + 1 {
-		c.seconds = append(c.seconds, newTally())
 	}
 	for i := range s.Fleet.FrontEnds {
 		c.pools = append(c.pools, &pool{c: c, i: i, conns: make([]*jsonrpc.Caller, s.Clients.Connections)})
@@ -135,21 +121,16 @@
 	return c, nil
 }
 
-// pick is the plain layer before the front ends: each in turn by chance, dead ones left out once that was noticed.
+// pick is the plain layer before the front ends.
 func (c *callers) pick(rng *rand.Rand) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	notice := turn.Duration(c.s.Clients.Notice)
-	var alive []int
-	for i, since := range c.dead {
-		if since.IsZero() || time.Since(since) < notice {
-			alive = append(alive, i)
+	return day.Front(rng, len(c.dead), func(i int) time.Duration {
+		if c.dead[i].IsZero() {
+			return -1
 		}
-	}
-	if len(alive) == 0 {
-		return rng.Intn(len(c.dead))
-	}
-	return alive[rng.Intn(len(alive))]
+		return time.Since(c.dead[i])
+	}, turn.Duration(c.s.Clients.Notice))
 }
 
 // front notes that a front end died or is back.
@@ -161,145 +142,72 @@
 	}
 }
 
-// rateAt is the arrivals a second at a moment of the day, and the share that is for functions wanted once.
-func (c *callers) rateAt(at router.Time) (rate, once float64) {
-	rate = c.s.Load.Rate
-	for _, t := range c.s.Troubles {
-		if at < t.At || at >= t.At+t.For {
-			continue
-		}
-		switch t.Kind {
-		case "burst":
-			rate *= t.Size
-		case "scan":
-			once = t.Part
-		}
-	}
-	return rate, once
-}
-
 // run sends the day's load and waits until all is answered or given up.
 func (c *callers) run(ctx context.Context) {
-	rng := rand.New(rand.NewSource(c.s.Seed))
-	zipf := rand.NewZipf(rng, c.s.Load.Zipf, 1, uint64(c.s.Load.Functions-1))
-	length := turn.Duration(c.s.Length)
+	arrivals := day.NewArrivals(c.s)
 	c.start = time.Now()
 	var rpcs sync.WaitGroup
-	at := time.Duration(0)
-	for n := 0; n < c.s.Load.Most && ctx.Err() == nil; n++ {
-		rate, once := c.rateAt(turn.Span(at))
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if at >= length {
+	for ctx.Err() == nil {
+		a, more := arrivals.Next()
+		if !more {
 			break
 		}
-		method := c.s.Load.Mix[len(c.s.Load.Mix)-1]
-		for x, i := rng.Float64(), 0; i < len(c.s.Load.Mix); i++ {
-			if x -= c.s.Load.Mix[i].Share; x < 0 {
-				method = c.s.Load.Mix[i]
-				break
-			}
-		}
-		function := fmt.Sprintf("%s-%d", method.Method, zipf.Uint64())
-		if rng.Float64() < once {
-			function = fmt.Sprintf("%s-once-%d", method.Method, n)
-		}
-		seed, due := rng.Int63(), at
-		if wait := time.Until(c.start.Add(at)); wait > 0 {
+		if wait := time.Until(c.start.Add(a.At)); wait > 0 {
 			time.Sleep(wait)
 		}
 		rpcs.Add(1)
 		go func() {
 			defer rpcs.Done()
-			c.one(ctx, n, seed, due, method, function)
+			c.one(ctx, a)
 		}()
 	}
 	rpcs.Wait()
 }
 
 // one is one client's RPC with its repeats.
-func (c *callers) one(ctx context.Context, n int, seed int64, due time.Duration, mix settings.Mix, function string) {
-	rng := rand.New(rand.NewSource(seed))
-	m := c.lookups[mix.Method]
-	began := c.start.Add(due)
+func (c *callers) one(ctx context.Context, a day.Arrival) {
+	m := c.lookups[a.Mix.Method]
+	cl := day.NewClient(c.s, m, a)
+	began := c.start.Add(a.At)
 	deadline := began.Add(turn.Duration(m.Deadline))
-	token := fmt.Sprintf("t%d-%d", c.s.Seed, n)
-	outcome := "lost"
-	firstSent := time.Time{}
-	for try := 0; try <= c.s.Clients.Retries && ctx.Err() == nil; try++ {
-		left := time.Until(deadline)
-		if left <= 0 {
+	outcome := day.Lost
+	for try := 0; ctx.Err() == nil; try++ {
+		span, repeat, goes := cl.Try(time.Since(c.start), time.Until(deadline))
+		if !goes {
 			break
 		}
-		span := time.Duration(float64(turn.Duration(m.Deadline)) *
-			(c.s.Clients.TryShare + (1-c.s.Clients.TryShare)*rng.Float64()))
-		span = min(span, left)
-		mark := fmt.Sprintf("%d/%d", n, try)
-		if firstSent.IsZero() {
-			firstSent = time.Now()
-		}
-		var comeBack time.Duration
 		var sent bool
-		outcome, sent, comeBack = c.try(ctx, c.pick(rng), mark, token, function, mix, m, span, try > 0, rng)
-		if outcome == "ok" || outcome == "quit" {
-			break
-		}
-		// idempotent ones go again after any failure, tokened ones of one group within their window, others only
-		// after a denial or where nothing was sent
-		again := !sent || outcome == "denied" || m.Effect == router.Idempotent ||
-			m.Effect == router.Tokened && m.Group == "all" && time.Since(firstSent) < turn.Duration(m.Window)/2
+		var comeBack time.Duration
+		outcome, sent, comeBack = c.try(ctx, c.pick(cl.Rand()), fmt.Sprintf("%d/%d", a.N, try), cl, a, span, repeat)
+		wait, again := cl.Again(time.Since(c.start), outcome, sent, comeBack)
 		if !again {
 			break
 		}
-		wait := turn.Duration(c.s.Clients.BackOff)
-		if comeBack > 0 && rng.Float64() < c.s.Clients.Heed {
-			wait = comeBack
-		}
 		select {
-		case <-time.After(time.Duration(float64(wait) * (0.5 + rng.Float64()))):
+		case <-time.After(wait):
 		case <-ctx.Done():
 		}
 	}
-	if outcome == "quit" { // it wants nothing any more
+	if outcome == day.Quit { // it wants nothing any more
 		return
 	}
-	took := time.Since(began)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := min(int(due/time.Second), len(c.seconds)-1)
-	for _, t := range []*tally{c.methods[m.Name], c.seconds[at]} {
-		t.Asked++
-		t.GainAsked += m.Gain
-		switch outcome {
-		case "ok":
-			t.OK++
-			if took <= turn.Duration(m.Soft) {
-				t.GainKept += m.Gain
-			} else {
-				t.Late++
-				t.GainKept += m.Gain * m.LateShare
-			}
-			_ = t.latency.RecordValue(min(took.Microseconds(), 120e6))
-		case "denied":
-			t.Denied++
-		case "aborted":
-			t.Aborted++
-		default:
-			t.Lost++
-		}
-	}
+	c.book.Count(m, a.At, outcome, time.Since(began))
 }
 
 // try sends one RPC and waits for its answer, for its time and some more: late answers are seen, too.
-func (c *callers) try(ctx context.Context, front int, mark, token, function string, mix settings.Mix,
-	m *settings.Method, span time.Duration, repeat bool, rng *rand.Rand) (outcome string, sent bool, comeBack time.Duration) {
-	if mix.Front != jsonRPC && !strings.Contains(function, "-once-") {
+func (c *callers) try(ctx context.Context, front int, mark string, cl *day.Client, a day.Arrival, span time.Duration,
+	repeat bool) (outcome string, sent bool, comeBack time.Duration) {
+	m, mix, function, token := cl.Method, a.Mix, a.Function, cl.Token
+	if mix.Front != jsonRPC && !a.Once {
 		keep, ms := c.keeper(front, mark, token, function, m, span)
 		if mix.Front == "grpc" {
 			return c.tryGRPC(ctx, front, mark, token, function, mix, m, ms, keep)
 		}
 		return c.tryHTTP(ctx, front, mark, token, function, mix, m, ms, keep)
 	}
-	impatient := rng.Float64() < c.s.Clients.Impatient
+	patience, closes, impatient := cl.Impatient()
 	var conn *jsonrpc.Caller
 	var err error
 	if impatient { // it has a connection of its own, and may close that
@@ -310,8 +218,6 @@
 	if err != nil {
 		return "lost", false, 0
 	}
-	patience := time.Duration(rng.Float64() * float64(turn.Duration(m.Soft)))
-	closes := rng.Intn(2) == 0
 	b := jsonrpc.AppendText([]byte(`{"function":`), function)
 	if mix.Customer != "" {
 		b = jsonrpc.AppendText(append(b, `,"customer":`...), mix.Customer)
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -197,17 +197,28 @@
 	}
 }
 
-// store serves fetches: so many at full pace, more of them slower, and beyond a limit none. It also keeps the
-// groups' memory of tokens.
-type store struct {
+// Shelf is the shared store without I/O: it serves fetches, so many at full pace, more of them slower, and beyond a limit
+// none, and keeps the groups' memory of tokens. It belongs to one goroutine.
+type Shelf struct {
 	set    *settings.Store
-	loop   *turn.Loop
-	timers turn.Timers
+	timers *turn.Timers
 	inHand int
 	tokens map[string]router.Time // until when
 	swept  router.Time
 }
 
+// NewShelf makes an empty one.
+func NewShelf(set *settings.Store, timers *turn.Timers) *Shelf {
+	return &Shelf{set: set, timers: timers, tokens: map[string]router.Time{}}
+}
+
+// store serves a Shelf on sockets.
+type store struct {
+	*Shelf
+	loop   *turn.Loop
+	timers turn.Timers
+}
+
 // Begin implements turn.Machine.
 func (s *store) Begin(router.Time) {}
 
@@ -218,7 +229,8 @@
 func (s *store) Due() (router.Time, bool) { return s.timers.Due() }
 
 func serveStore(ctx context.Context, set *settings.Store, l net.Listener) error {
-	s := &store{set: set, loop: turn.NewLoop(), tokens: map[string]router.Time{}}
+	s := &store{loop: turn.NewLoop()}
+	s.Shelf = NewShelf(set, &s.timers)
 	var group errgroup.Group
 	group.Go(func() error { s.loop.Run(ctx, s); return nil })
 	group.Go(func() error {
@@ -244,7 +256,7 @@
 	c.s.loop.Post(func() {
 		switch method {
 		case "store.fetch":
-			c.s.fetch(router.Time(usual*10), func(ok bool) {
+			c.s.Fetch(c.s.loop.Now(), router.Time(usual*10), func(ok bool) {
 				if ok {
 					c.c.Write(jsonrpc.AppendResult(nil, key, []byte("true")))
 					return
@@ -252,7 +264,7 @@
 				c.c.Write(jsonrpc.AppendError(nil, key, full, "turned away", nil))
 			})
 		case "token.claim":
-			first := c.s.claim(token, router.Time(window*10))
+			first := c.s.Claim(c.s.loop.Now(), token, router.Time(window*10))
 			c.c.Write(jsonrpc.AppendResult(nil, key, strconv.AppendBool(nil, first)))
 		default:
 			c.c.Write(jsonrpc.AppendError(nil, key, jsonrpc.MethodNotFound, "no such method", nil))
@@ -260,9 +272,9 @@
 	})
 }
 
-// fetch takes the usual time, longer by its crowd: past at-once fetches the store's pace is shared, and thrash takes
+// Fetch takes the usual time, longer by its crowd: past at-once fetches the store's pace is shared, and thrash takes
 // a further part of it for each of them.
-func (s *store) fetch(usual router.Time, done func(ok bool)) {
+func (s *Shelf) Fetch(now, usual router.Time, done func(ok bool)) {
 	if s.inHand >= s.set.Refuses {
 		done(false)
 		return
@@ -270,15 +282,14 @@
 	s.inHand++
 	crowd := math.Max(1, float64(s.inHand)/float64(s.set.AtOnce))
 	took := float64(max(usual, s.set.Mean)) * crowd * (1 + s.set.Thrash*(crowd-1))
-	s.timers.Set(new(turn.Timer), s.loop.Now()+router.Time(took), func(router.Time) {
+	s.timers.Set(new(turn.Timer), now+router.Time(took), func(router.Time) {
 		s.inHand--
 		done(true)
 	})
 }
 
-// claim remembers a token for its window; first: it was not remembered.
-func (s *store) claim(token string, window router.Time) bool {
-	now := s.loop.Now()
+// Claim remembers a token for its window; first: it was not remembered.
+func (s *Shelf) Claim(now router.Time, token string, window router.Time) bool {
 	if now-s.swept > 10000 {
 		s.swept = now
 		for t, until := range s.tokens {
