The emulator: real engines, desks and modules of a whole fleet in virtual time

The emulator plays the same scenarios with the real engine, module, desk and gate, the stand-ins' own models and a network with delays, in one order of events; gray troubles that sockets can't show (lost answers, one direction cut, a clock that jumps) come on top.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -46,6 +46,7 @@
 	Config   configCmd   `cmd:"" help:"Submit, compare, watch and take back configurations."`
 	Demo     demoCmd     `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
+	Emulate  emulateCmd  `cmd:"" help:"Play a scripted day in virtual time and check the five rules."`
 	Schema   schemaCmd   `cmd:"" help:"Print the XML schema of the settings."`
 	Measure  measureCmd  `cmd:"" help:"Time one front end on warm copies beside a client that speaks to the workers directly."`
 }
--- /dev/null
+++ b/internal/day/config.go
@@ -0,0 +1,45 @@
+package day
+
+import (
+	"fmt"
+	"math/rand"
+
+	"mallowlanding/internal/settings"
+	"mallowlanding/router"
+)
+
+// Configuration is the day's service with something changed: what does no harm, or what no front end may take.
+func Configuration(s *settings.Scenario, dir string, n int, bad bool, rng *rand.Rand) (string, error) {
+	next := s.Service
+	next.Methods = append([]settings.Method(nil), s.Service.Methods...)
+	next.CallOuts.ComeBack += 1 + router.Time(n%50)
+	switch n % 4 { // a method comes, and goes with the next
+	case 0:
+		extra := next.Methods[0]
+		extra.Name = fmt.Sprintf("extra-%d", n)
+		next.Methods = append(next.Methods, extra)
+	case 1:
+		next.Functions.Some = append([]settings.Function{{Name: fmt.Sprintf("fn-%d", n), Lanes: 2}}, next.Functions.Some...)
+	}
+	more := ""
+	switch {
+	case n%4 == 2:
+		more = fmt.Sprintf("  <limits whole-open=\"%d\" open=\"100000\"/>\n", 19000+n)
+	case n%4 == 3:
+		more = "  <limits open=\"100000\"/>\n  <listener name=\"more\" socket=\"" + dir + "/FRONT.more" + "\"/>\n"
+	}
+	if bad {
+		switch rng.Intn(4) {
+		case 0: // figures that don't fit each other
+			next.Methods[0].Soft = next.Methods[0].Deadline + 10
+		case 1: // a reference to nothing
+			more = "  <group name=\"g\" zone=\"nowhere\"><worker name=\"x\" socket=\"/nowhere\"/></group>\n"
+		case 2: // out of range
+			next.Methods[0].Lanes = 0
+		case 3: // no service at all
+			next.Methods = nil
+		}
+	}
+	text, err := settings.Text("service", next)
+	return "<configuration>\n" + text + more + "</configuration>\n", err
+}
--- /dev/null
+++ b/internal/emulate/client.go
@@ -0,0 +1,174 @@
+package emulate
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"mallowlanding/internal/day"
+	"mallowlanding/internal/front"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// client is one RPC with its repeats.
+type client struct {
+	*day.Client
+	w     *world
+	a     day.Arrival
+	tries int
+	last  string // outcome of the try before
+}
+
+// attempt is one try of it.
+type attempt struct {
+	c     *client
+	f     *frontEnd
+	life  int // the front end's that it was sent to
+	mark  string
+	ms    float64
+	ask   *front.Ask
+	conn  *front.Conn // its own, of an impatient client
+	timer turn.Timer
+	over  bool // the client knows how it ended, or cares no more
+	left  bool
+}
+
+func (c *client) deadline() router.Time {
+	return c.w.start + turn.Span(c.a.At) + c.Method.Deadline
+}
+
+// try sends it once.
+func (c *client) try() {
+	w := c.w
+	span, repeat, goes := c.Try(w.since(), turn.Duration(c.deadline()-w.now))
+	if !goes {
+		c.ended(day.Lost)
+		return
+	}
+	f := w.fronts[day.Front(c.Rand(), len(w.fronts), func(i int) time.Duration {
+		if w.fronts[i].diedAt == 0 {
+			return -1
+		}
+		return turn.Duration(w.now - w.fronts[i].diedAt)
+	}, turn.Duration(w.s.Clients.Notice))]
+	t := &attempt{c: c, f: f, life: f.life, mark: fmt.Sprintf("%d/%d", c.a.N, c.tries), ms: math.Floor(float64(span)/1e5) / 10}
+	c.tries++
+	patience, closes, impatient := c.Impatient()
+	if !f.alive {
+		w.after(w.delay(), func() { t.ends(day.Lost, false, 0) })
+		return
+	}
+	t.keep(record.Sent, "")
+	p := front.Params{Method: f.methods[c.Method.Name], Function: c.a.Function, Customer: c.a.Mix.Customer, Time: t.ms,
+		Payload: []byte(t.mark), Repeat: repeat}
+	if c.Method.Effect == router.Tokened {
+		p.Token = c.Token
+	}
+	f.open[t] = true
+	w.after(w.delay(), func() {
+		f.do(t.life, func() {
+			t.conn = f.conn(c.a.N, impatient)
+			t.ask = t.conn.Take(p, 0, t)
+		})
+	})
+	w.events.Set(&t.timer, w.now+turn.Span(span), func(router.Time) { t.ends(day.Lost, true, 0) })
+	if impatient {
+		w.after(turn.Span(patience), func() { t.leaves(closes) })
+	}
+}
+
+// leaves: it wants nothing any more; it closes its connection, or cancels.
+func (t *attempt) leaves(closes bool) {
+	if t.over {
+		return
+	}
+	w := t.c.w
+	t.left = true
+	t.keep(record.Quit, "")
+	w.after(w.delay(), func() {
+		t.f.do(t.life, func() {
+			switch {
+			case closes && t.conn != nil:
+				t.conn.Leave()
+			case t.ask != nil:
+				t.ask.Cancel()
+			}
+		})
+	})
+	t.ends(day.Quit, true, 0)
+}
+
+func (t *attempt) keep(kind, outcome string) {
+	m := t.c.Method
+	t.c.w.keep(record.Record{Who: "client", FrontEnd: t.f.name(), RPC: t.mark, Method: m.Name, Function: t.c.a.Function,
+		Token: t.c.Token, Time: t.ms, Kind: kind, Outcome: outcome})
+}
+
+// answered: the front end has said something; it reaches the client after a delay, wanted or not.
+func (t *attempt) answered(outcome string, comeBack router.Time) {
+	w := t.c.w
+	w.after(w.delay(), func() {
+		if t.f.life != t.life || !t.f.open[t] { // the connection broke before
+			return
+		}
+		delete(t.f.open, t)
+		t.keep(record.Answer, outcome)
+		t.ends(outcome, true, turn.Duration(comeBack))
+	})
+}
+
+// broke: the front end died with it open.
+func (t *attempt) broke() {
+	if !t.left {
+		t.keep(record.Lost, "")
+	}
+	t.ends(day.Lost, true, 0)
+}
+
+// ends is what the client goes on from.
+func (t *attempt) ends(outcome string, sent bool, comeBack time.Duration) {
+	if t.over {
+		return
+	}
+	t.over = true
+	w, c := t.c.w, t.c
+	w.events.Stop(&t.timer)
+	wait, again := c.Again(w.since(), outcome, sent, comeBack)
+	if !again {
+		c.ended(outcome)
+		return
+	}
+	w.after(turn.Span(wait), func() {
+		if c.w.now >= c.deadline() {
+			c.ended(outcome)
+			return
+		}
+		c.last = outcome
+		c.try()
+	})
+}
+
+// ended counts it.
+func (c *client) ended(outcome string) {
+	if outcome == day.Quit {
+		return
+	}
+	if outcome == day.Lost && c.last != "" && c.last != day.Quit { // no try was left: the last one's outcome stands
+		outcome = c.last
+	}
+	c.w.book.Count(c.Method, c.a.At, outcome, turn.Duration(c.w.now-c.w.start-turn.Span(c.a.At)))
+}
+
+// OK implements front.Reply.
+func (t *attempt) OK([]byte, []byte) { t.answered(day.OK, 0) }
+
+// Denied implements front.Reply.
+func (t *attempt) Denied(_ string, comeBack router.Time) { t.answered(day.Denied, comeBack) }
+
+// Aborted implements front.Reply.
+func (t *attempt) Aborted(string) { t.answered(day.Aborted, 0) }
+
+// Refused implements front.Reply.
+func (t *attempt) Refused(string) { t.answered("refused", 0) }
--- /dev/null
+++ b/internal/emulate/emulate_test.go
@@ -0,0 +1,138 @@
+package emulate
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mallowlanding/internal/day"
+	"mallowlanding/internal/settings"
+)
+
+func read(t *testing.T, file string) *settings.Scenario {
+	t.Helper()
+	s, err := settings.ReadScenario(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func run(t *testing.T, s *settings.Scenario) *Result {
+	t.Helper()
+	r, err := Run(context.Background(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func digest(r *Result) string {
+	h := sha256.New()
+	for _, x := range r.Records {
+		fmt.Fprintln(h, x)
+	}
+	return fmt.Sprintf("%x", h.Sum(nil))
+}
+
+// The same seed gives the same day, to the record; another gives another.
+func TestSameSeedSameDay(t *testing.T) {
+	s := read(t, "testdata/short.xml")
+	first, second := run(t, s), run(t, s)
+	if digest(first) != digest(second) || len(first.Records) < 1000 {
+		t.Errorf("two days of one seed: %d and %d records", len(first.Records), len(second.Records))
+	}
+	s.Seed++
+	if digest(run(t, s)) == digest(first) {
+		t.Error("another seed gives the same day")
+	}
+}
+
+// Each trouble alone: no rule breaks, what is asked for is answered, and its symptom shows.
+func TestTroubles(t *testing.T) {
+	base := read(t, "testdata/short.xml")
+	calm := *base
+	calm.Troubles = nil
+	quiet := run(t, &calm).All()
+	if share := quiet.GainKept / quiet.GainAsked; share < 0.95 {
+		t.Fatalf("a calm day keeps %.3f", share)
+	}
+	whole := settings.Trouble{At: 20000, For: 20000, Part: 0.5, Size: 1}
+	for kind, x := range map[string]struct {
+		size  float64
+		shows func(all *day.Tally) bool
+	}{
+		"hang":             {1, func(a *day.Tally) bool { return a.Late+a.Denied+a.Aborted > quiet.Late+quiet.Denied+quiet.Aborted }},
+		"slow":             {8, func(a *day.Tally) bool { return a.Quantile(90) > quiet.Quantile(90)*5/4 }},
+		"slow-function":    {20, func(a *day.Tally) bool { return a.Late > quiet.Late }},
+		"fast-errors":      {0.8, func(a *day.Tally) bool { return a.Aborted > quiet.Aborted }},
+		"load-fails":       {1, nil},
+		"report-late":      {2, nil},
+		"flush":            {1, func(a *day.Tally) bool { return a.Quantile(95) > quiet.Quantile(95) }},
+		"close":            {1, func(a *day.Tally) bool { return a.Aborted >= quiet.Aborted }},
+		"crash":            {1, func(a *day.Tally) bool { return a.GainKept < quiet.GainKept }},
+		"ageing":           {3, nil},
+		"deploy":           {0.5, nil},
+		"preempt":          {1, nil},
+		"front-end-kill":   {1, func(a *day.Tally) bool { return a.Lost > 0 }},
+		"front-end-roll":   {1, nil},
+		"front-end-stall":  {1, func(a *day.Tally) bool { return a.Late > quiet.Late }},
+		"answers-lost":     {0.5, func(a *day.Tally) bool { return a.Aborted > quiet.Aborted }},
+		"cut-to-workers":   {1, nil},
+		"cut-from-workers": {1, nil},
+		"clock-step":       {5, nil},
+		"burst":            {3, func(a *day.Tally) bool { return a.Asked > quiet.Asked }},
+		"scan":             {1, nil},
+		"config":           {10, nil},
+	} {
+		t.Run(kind, func(t *testing.T) {
+			s := calm
+			trouble := whole
+			trouble.Kind, trouble.Size = kind, x.size
+			s.Troubles = []settings.Trouble{trouble}
+			r := run(t, &s)
+			for _, b := range r.Audit.Breaks {
+				t.Errorf("rule %d, %s: %s", b.Rule, b.RPC, b.Text)
+			}
+			if all := r.All(); x.shows != nil && !x.shows(all) {
+				t.Errorf("no symptom: %+v beside %+v", all, quiet)
+			}
+		})
+	}
+}
+
+// The examples that rehearsals play keep the rules here, too.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.xml")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, file := range files {
+		s := read(t, file)
+		if playable(s) != nil || s.Fleet.FrontEnds > 20 {
+			continue
+		}
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			r := run(t, s)
+			for _, b := range r.Audit.Breaks {
+				t.Errorf("rule %d, %s: %s", b.Rule, b.RPC, b.Text)
+			}
+			if r.Audit.Answers < 1000 || r.Kept() < 0.5 {
+				t.Errorf("%d answers, %.3f kept", r.Audit.Answers, r.Kept())
+			}
+		})
+	}
+}
+
+// What can't be played is said before anything is.
+func TestNotPlayable(t *testing.T) {
+	s := read(t, "testdata/short.xml")
+	s.Troubles = []settings.Trouble{{Kind: "control-kill"}}
+	if _, err := Run(context.Background(), s); err == nil || !strings.Contains(err.Error(), "rehearse it on sockets") {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/emulate/front.go
@@ -0,0 +1,450 @@
+package emulate
+
+import (
+	"fmt"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/front"
+	"mallowlanding/internal/ident"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/standin"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Pauses between attempts to reach a worker, and how long one to a worker that says nothing takes: a front end's defaults.
+const (
+	redialMin = 200
+	redialMax = 10000
+)
+
+// frontEnd is one front end: the engine and the desk that a process has, on links of the world's.
+type frontEnd struct {
+	w       *world
+	i       int
+	life    int // rises with each death: what was on its way to a former life is lost
+	alive   bool
+	diedAt  router.Time // 0: it lives, as far as clients know
+	e       *engine.Engine
+	desk    *front.Desk
+	methods map[string]int
+	set     *settings.FrontEnd // as it is now
+	links   map[string]*link
+	pool    []*front.Conn
+	wake    turn.Timer
+	stalled bool
+	inbox   []func()          // came while it stood still
+	open    map[*attempt]bool // whose clients wait
+	ahead   router.Time       // its clock runs ahead by so much
+}
+
+func (f *frontEnd) name() string { return fmt.Sprintf("front-%d", f.i) }
+
+// begin starts a life.
+func (f *frontEnd) begin() {
+	w := f.w
+	f.alive, f.diedAt, f.stalled, f.inbox = true, 0, false, nil
+	f.links, f.open, f.pool, f.methods = map[string]*link{}, map[*attempt]bool{}, nil, map[string]int{}
+	set := &settings.FrontEnd{Number: f.i, Of: w.s.Fleet.FrontEnds, Service: w.s.Service, Clients: settings.Defaults()}
+	if zones := w.s.Service.Zones; len(zones) > 0 {
+		set.Zone = zones[f.i%len(zones)].Name
+	}
+	f.set = set
+	own := &set.Clients
+	f.e = engine.New(engine.Options{Settings: set.Module(), Seed: w.s.Seed + int64(f.i), Now: f.now(), Margin: own.Margin,
+		CallOff: own.CallOff, Log: func(string) {}})
+	methods := w.s.Service.EngineMethods()
+	for i, m := range methods {
+		f.methods[m.Name] = i
+	}
+	var customers []string
+	for _, c := range w.s.Service.Customers {
+		customers = append(customers, c.Name)
+	}
+	f.desk = front.NewDesk(f.e, front.Options{Methods: methods, Customers: customers, Function: w.s.Service.FunctionFor(),
+		Margin: own.Margin, Gate: f.gate()})
+	w.keep(record.Record{Kind: record.Restarts, Who: "world", FrontEnd: f.name()})
+	life := f.life
+	w.after(w.delay(), func() {
+		if f.life == life && f.alive {
+			f.told(router.Whole, w.listed)
+		}
+	})
+}
+
+// renew takes a configuration, as a front end's shell does; in a turn.
+func (f *frontEnd) renew(conf *settings.Configuration) {
+	next := *f.set
+	next.Service = *conf.Settle(&f.set.Service)
+	if l := conf.Limits; l != nil {
+		next.Clients.Whole = l.Whole
+	}
+	f.set = &next
+	methods := next.Service.EngineMethods()
+	var customers []string
+	for _, c := range next.Service.Customers {
+		customers = append(customers, c.Name)
+	}
+	module := next.Module()
+	f.e.Renew(module, router.Prepare(module), methods)
+	f.desk.Renew(front.Prepare(methods, customers, next.Service.FunctionFor()), f.gate())
+}
+
+func (f *frontEnd) gate() limits.Settings {
+	c := &f.set.Clients
+	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes}, Held: c.Held,
+		ComeBack: f.set.Service.CallOuts.ComeBack}
+}
+
+// now is its own clock.
+func (f *frontEnd) now() router.Time { return f.w.now + f.ahead }
+
+// die ends a life without a word: clients' and workers' connections break.
+func (f *frontEnd) die() {
+	w := f.w
+	w.keep(record.Record{Kind: record.Killed, Who: "world", FrontEnd: f.name()})
+	f.alive, f.diedAt = false, w.now
+	f.life++
+	w.events.Stop(&f.wake)
+	for _, t := range f.waiting() {
+		w.after(w.delay(), t.broke)
+	}
+	f.open = nil
+	for _, l := range f.links {
+		l.worker = nil // nothing comes back
+	}
+}
+
+// waiting are the attempts whose clients wait, in the order in which they were sent.
+func (f *frontEnd) waiting() []*attempt {
+	out := make([]*attempt, 0, len(f.open))
+	for t := range f.open {
+		out = append(out, t)
+	}
+	sortAttempts(out)
+	return out
+}
+
+// conn gives a client's connection.
+func (f *frontEnd) conn(n int, own bool) *front.Conn {
+	if own {
+		return f.desk.Open(limits.PeerID(0))
+	}
+	for len(f.pool) < max(f.w.s.Clients.Connections, 1) {
+		f.pool = append(f.pool, f.desk.Open(limits.PeerID(0)))
+	}
+	return f.pool[n%len(f.pool)]
+}
+
+// do has an event take place in a turn, unless that life is over; one that stands still takes it when it goes on.
+func (f *frontEnd) do(life int, event func()) {
+	switch {
+	case f.life != life || !f.alive:
+	case f.stalled:
+		f.inbox = append(f.inbox, event)
+	default:
+		f.turn(event)
+	}
+}
+
+// turn is one turn of its loop.
+func (f *frontEnd) turn(events ...func()) {
+	f.desk.Begin(f.now())
+	f.e.Begin(f.now())
+	for _, event := range events {
+		event()
+	}
+	f.desk.Pump()
+	f.e.End()
+	due, any := f.e.Due()
+	if d, is := f.desk.Due(); is && (!any || d < due) {
+		due, any = d, true
+	}
+	if any {
+		life := f.life
+		f.w.events.Set(&f.wake, max(due-f.ahead, f.w.now), func(router.Time) { f.do(life, func() {}) })
+	}
+}
+
+// stall has it stand still for a time; all that came is there when it goes on.
+func (f *frontEnd) stall(span router.Time) {
+	w, life := f.w, f.life
+	if !f.alive || f.stalled {
+		return
+	}
+	f.stalled = true
+	w.keep(record.Record{Kind: record.Stopped, Who: "world", FrontEnd: f.name()})
+	w.after(span, func() {
+		if f.life != life {
+			return
+		}
+		f.stalled = false
+		w.keep(record.Record{Kind: record.Resumed, Who: "world", FrontEnd: f.name()})
+		events := f.inbox
+		f.inbox = nil
+		f.turn(events...)
+	})
+}
+
+// told brings the roster's list or changes of it.
+func (f *frontEnd) told(form router.ListForm, names []string) {
+	w := f.w
+	if !f.alive {
+		return
+	}
+	type entry struct {
+		name string
+		m    member
+	}
+	var entries []entry
+	for _, name := range names {
+		if m := w.members[name]; form != router.Whole || m.state != router.Gone {
+			entries = append(entries, entry{name, *m})
+			w.keep(record.Record{Kind: record.Told, Who: "roster", FrontEnd: f.name(), Worker: name,
+				State: map[router.Readiness]string{router.Gone: "gone", router.Ready: "ready", router.Draining: "draining"}[m.state]})
+		}
+	}
+	version := w.version
+	w.after(w.delay(), func() {
+		f.do(f.life, func() {
+			f.e.ListBegins(form, version)
+			for _, e := range entries {
+				s, started := &w.s.Service, e.m.started
+				if started > 0 { // by its own clock
+					started += f.ahead
+				}
+				if f.e.Listed(e.name, e.m.state, started, s.ZoneID(e.m.w.set.Zone), s.CellID(e.m.w.set.Cell), s.KindID(e.m.w.set.Kind)) != nil {
+					continue
+				}
+				f.want(e.name, e.m)
+			}
+			f.e.ListEnds()
+		})
+	})
+}
+
+// want keeps a link up to a worker, or drops it.
+func (f *frontEnd) want(name string, m member) {
+	l := f.links[name]
+	if m.state == router.Gone {
+		if l != nil {
+			l.wanted = false
+		}
+		return
+	}
+	if l == nil {
+		l = &link{f: f, name: name, id: ident.Worker(name), out: map[engine.CallOutID]*flight{}}
+		f.links[name] = l
+	}
+	if l.wanted = true; l.worker == nil && !l.dialing {
+		l.dial(redialMin)
+	}
+}
+
+// link is a front end's connection to a worker. It is the engine's Link.
+type link struct {
+	f       *frontEnd
+	name    string
+	id      router.WorkerID
+	wanted  bool
+	dialing bool
+	worker  *worker // nil: it is down
+	round   int     // rises with each connection: what was on a former one is lost
+	out     map[engine.CallOutID]*flight
+	orders  []engine.OrderID
+	checks  []engine.CheckID
+}
+
+// flight is a call-out on its way or at the worker.
+type flight struct {
+	job *standin.Job // nil: it has not come there
+}
+
+// dial connects, now or later.
+func (l *link) dial(pause router.Time) {
+	f, w := l.f, l.f.w
+	life := f.life
+	l.dialing = true
+	w.after(w.delay()+w.delay(), func() {
+		f.do(life, func() {
+			x := w.workers[l.name]
+			if x == nil || !x.alive || !l.wanted {
+				if !l.wanted {
+					l.dialing = false
+					return
+				}
+				w.after(pause, func() {
+					if f.life == life && l.dialing {
+						l.dial(min(2*pause, redialMax))
+					}
+				})
+				return
+			}
+			l.dialing, l.worker = false, x
+			l.round++
+			x.links = append(x.links, l)
+			f.e.Connect(l.name, l)
+		})
+	})
+}
+
+// broke: the worker closed, or died. What is out may have run.
+func (l *link) broke() {
+	f, w, round := l.f, l.f.w, l.round
+	life := f.life
+	w.after(w.delay(), func() {
+		f.do(life, func() {
+			if l.round != round || l.worker == nil {
+				return
+			}
+			l.worker = nil
+			f.e.Connect(l.name, nil)
+			for _, id := range sortedKeys(l.out) {
+				f.e.Answered(id, l.id, router.Reset, router.Untold, 0, nil, []byte("connection lost"), nil)
+			}
+			for _, id := range l.orders {
+				f.e.Held(id, router.Reset, 0)
+			}
+			for _, id := range l.checks {
+				f.e.Checked(id, router.Reset, nil)
+			}
+			clear(l.out)
+			l.orders, l.checks = nil, nil
+			if l.wanted {
+				l.dial(redialMin)
+			}
+		})
+	})
+}
+
+// there has something happen at the worker, a delay later, if the connection still stands then.
+func (l *link) there(do func(x *worker)) {
+	w, x, round := l.f.w, l.worker, l.round
+	if x == nil || w.lost(l.f, x, toWorker) {
+		return
+	}
+	w.after(w.delay(), func() {
+		if x.alive && l.round == round {
+			x.do(func() { do(x) })
+		}
+	})
+}
+
+// back has something happen at the front end, likewise.
+func (l *link) back(x *worker, do func()) {
+	w, f, round := l.f.w, l.f, l.round
+	life := f.life
+	if w.lost(f, x, toFront) {
+		return
+	}
+	w.after(w.delay(), func() {
+		f.do(life, func() {
+			if l.round == round && l.worker == x {
+				do()
+			}
+		})
+	})
+}
+
+var outcomes = map[int]router.Outcome{0: router.OK, -32010: router.Full, -32011: router.Missed, -32012: router.Errored,
+	-32013: router.CalledOff}
+
+var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad, "joined": router.JoinedLoad,
+	"load failed": router.LoadFailed}
+
+// Send implements engine.Link.
+func (l *link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+	w, fl, name := l.f.w, &flight{}, l.f.name()
+	l.out[id] = fl
+	j := &standin.Job{Method: p.Method.Name, Function: p.Function, Token: p.Token, Mark: string(p.Payload), Until: w.now + left,
+		Memory: p.Fn.Memory, Lanes: p.Fn.Lanes, Load: p.Fn.Load}
+	l.there(func(x *worker) {
+		fl.job = j
+		r := record.Record{Kind: record.Request, Who: x.set.Name, FrontEnd: name, RPC: j.Mark, Method: j.Method, Function: j.Function,
+			Token: j.Token}
+		for i := range x.set.Work {
+			if x.set.Work[i].Method == j.Method {
+				r.Cost = float64(x.set.Work[i].Mean) / 10
+			}
+		}
+		w.keep(r)
+		j.Done = func(a standin.Answer) {
+			w.keep(record.Record{Kind: record.Ended, Who: x.set.Name, FrontEnd: name, RPC: j.Mark, N: a.Code})
+			report := append([]float64(nil), x.model.Report()...)
+			l.back(x, func() {
+				if _, out := l.out[id]; !out {
+					return
+				}
+				delete(l.out, id)
+				o, known := outcomes[a.Code]
+				if !known {
+					o = router.Errored
+				}
+				l.f.e.Answered(id, l.id, o, warmths[a.Warmth], a.Crowd, report, []byte(a.Message), nil)
+			})
+		}
+		x.model.Request(j)
+	})
+}
+
+// CallOff implements engine.Link.
+func (l *link) CallOff(id engine.CallOutID) {
+	fl := l.out[id]
+	if fl == nil {
+		return
+	}
+	l.there(func(x *worker) {
+		if fl.job != nil {
+			x.model.CallOff(fl.job)
+		}
+	})
+}
+
+// Unhold implements engine.Link.
+func (l *link) Unhold(id engine.OrderID) {
+	l.there(func(x *worker) { x.model.Unhold(orderAt{l, id}) })
+}
+
+// orderAt names an order at a worker.
+type orderAt struct {
+	l  *link
+	id engine.OrderID
+}
+
+// Hold implements engine.Link.
+func (l *link) Hold(id engine.OrderID, function string, fn engine.Function, copies int) {
+	w, name := l.f.w, l.f.name()
+	l.orders = append(l.orders, id)
+	l.there(func(x *worker) {
+		if copies > 0 {
+			w.keep(record.Record{Kind: record.Hold, Who: x.set.Name, FrontEnd: name, Function: function, N: copies})
+		}
+		x.model.Hold(orderAt{l, id}, function, copies, fn.Memory, fn.Lanes, fn.Load, func(code, stand int) {
+			l.back(x, func() {
+				l.orders = without(l.orders, id)
+				o, known := outcomes[code]
+				if !known {
+					o = router.Errored
+				}
+				l.f.e.Held(id, o, stand)
+			})
+		})
+	})
+}
+
+// Check implements engine.Link.
+func (l *link) Check(id engine.CheckID) {
+	l.checks = append(l.checks, id)
+	l.there(func(x *worker) {
+		if x.model.Hangs() {
+			return
+		}
+		report := append([]float64(nil), x.model.Report()...)
+		l.back(x, func() {
+			l.checks = without(l.checks, id)
+			l.f.e.Checked(id, router.OK, report)
+		})
+	})
+}
--- /dev/null
+++ b/internal/emulate/world.go
@@ -0,0 +1,207 @@
+// Package emulate plays a scenario in virtual time: the real engine, module, desk and gate of each front end, the stand-in
+// workers' and store's own models, clients that repeat, and a network with delays between them. One goroutine, one order
+// of events: the same scenario and seed give the same day to the byte. Nothing here is measured on a real network; the
+// figures of delays are the scenario's.
+package emulate
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"mallowlanding/internal/day"
+	"mallowlanding/internal/record"
+	"mallowlanding/internal/settings"
+	"mallowlanding/internal/standin"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// epoch is when the day begins, by the virtual clock: some time after 0, which stands for long ago.
+const epoch = 10 * 60 * 10000
+
+// settleIn is what front ends have to hear of workers before the first RPC, beyond the roster's lag.
+const settleIn = 5000
+
+// looks is how many events pass between two looks at the context.
+const looks = 1 << 14
+
+// world is one day.
+type world struct {
+	s       *settings.Scenario
+	now     router.Time
+	start   router.Time // of the load
+	events  turn.Timers // of everybody, in the order in which they were set where their time is the same
+	delays  distuv.LogNormal
+	net     *rand.Rand // the network's chance
+	shelf   *standin.Shelf
+	fronts  []*frontEnd
+	workers map[string]*worker
+	order   []string  // of workers' names, as they came
+	fleet   []*worker // that are part of the fleet now; troubles draw from these
+	members map[string]*member
+	listed  []string // of members' names
+	version uint64
+	next    int // number of the next replacement
+	records []record.Record
+	book    *day.Book
+	open    int // clients whose RPC is not over
+	cuts    []cut
+}
+
+// member is a worker as the roster knows it.
+type member struct {
+	w       *worker
+	state   router.Readiness
+	started router.Time // 0: long ago
+}
+
+// source gives the statistics library a seeded chance of ours.
+type source struct{ *rand.Rand }
+
+// Uint64 implements the library's source.
+func (s source) Uint64() uint64 { return s.Rand.Uint64() }
+
+// Result is a day that was emulated.
+type Result struct {
+	*day.Outcome
+	Records []record.Record
+	Events  int           // that happened
+	Took    time.Duration // by the real clock
+}
+
+// Run plays a scenario.
+func Run(ctx context.Context, s *settings.Scenario) (*Result, error) {
+	if err := playable(s); err != nil {
+		return nil, err
+	}
+	begin := time.Now()
+	n := s.Fleet.Network
+	w := &world{s: s, now: epoch, net: rand.New(rand.NewSource(s.Seed ^ 0x6e6574)), workers: map[string]*worker{},
+		members: map[string]*member{}, book: day.NewBook(s)}
+	// a log-normal delay of the stated mean: its median is the mean over e^(sigma^2/2)
+	w.delays = distuv.LogNormal{Mu: math.Log(float64(n.DelayUs)) - n.Spread*n.Spread/2, Sigma: n.Spread, Src: source{w.net}}
+	if s.Fleet.Store != nil {
+		w.shelf = standin.NewShelf(s.Fleet.Store, &w.events)
+	}
+	i := 0
+	for _, g := range s.Fleet.Groups {
+		for range g.Count {
+			zone := g.Zone
+			if zone == "" && len(s.Service.Zones) > 0 {
+				zone = s.Service.Zones[i%len(s.Service.Zones)].Name
+			}
+			w.begin(&settings.Worker{Name: fmt.Sprintf("worker-%d", i), Zone: zone, Cell: g.Cell, Kind: g.Kind, Seed: s.Seed + int64(i),
+				Machine: g.Machine, Ramp: s.Service.Rules, Work: s.Fleet.Work})
+			i++
+		}
+	}
+	w.next = i
+	w.fleet = slices.Clone(w.all())
+	for i := range s.Fleet.FrontEnds {
+		f := &frontEnd{w: w, i: i}
+		w.fronts = append(w.fronts, f)
+		f.begin()
+	}
+	w.start = w.now + s.Fleet.RosterLag + settleIn
+	w.at(w.start, w.arrive)
+	for n := range s.Troubles {
+		t, rng := s.Troubles[n], rand.New(rand.NewSource(s.Seed+int64(n)))
+		w.at(w.start+t.At, func() { w.trouble(t, rng) })
+	}
+	longest := router.Time(0)
+	for _, m := range s.Service.Methods {
+		longest = max(longest, m.Deadline)
+	}
+	end := w.start + s.Length + longest + s.Slack + 10000
+	events := 0
+	for ; ; events++ {
+		due, any := w.events.Due()
+		if !any || due > end {
+			break
+		}
+		if events%looks == 0 && ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		w.now = max(w.now, due)
+		w.events.Fire(w.now)
+	}
+	return &Result{Outcome: day.Judge(s, w.records, w.book, ""), Records: w.records, Events: events, Took: time.Since(begin)}, nil
+}
+
+func (w *world) all() (out []*worker) {
+	for _, name := range w.order {
+		out = append(out, w.workers[name])
+	}
+	return out
+}
+
+// at has something happen.
+func (w *world) at(t router.Time, do func()) {
+	w.events.Set(new(turn.Timer), max(t, w.now), func(router.Time) { do() })
+}
+
+// after is at, from now on.
+func (w *world) after(d router.Time, do func()) { w.at(w.now+d, do) }
+
+// delay draws one message's way, in units of a tenth of a millisecond: what is shorter is drawn as chance of one.
+func (w *world) delay() router.Time {
+	units := w.delays.Rand() / 100
+	whole := math.Floor(units)
+	if w.net.Float64() < units-whole {
+		whole++
+	}
+	return router.Time(whole)
+}
+
+// keep notes what somebody saw; the virtual clock's zero is 1970.
+func (w *world) keep(r record.Record) {
+	r.T = int64(w.now) * int64(turn.Unit)
+	w.records = append(w.records, r)
+}
+
+// change tells all front ends of a member, after the roster's lag.
+func (w *world) change(name string, apply func(m *member)) {
+	w.after(w.s.Fleet.RosterLag, func() {
+		m := w.members[name]
+		if m == nil {
+			m = &member{}
+			w.members[name], w.listed = m, append(w.listed, name)
+		}
+		apply(m)
+		w.version++
+		for _, f := range w.fronts {
+			f.told(router.Changes, []string{name})
+		}
+	})
+}
+
+// arrive takes the day's next arrival and waits for the one after.
+func (w *world) arrive() {
+	arrivals := day.NewArrivals(w.s)
+	methods := map[string]*settings.Method{}
+	for i := range w.s.Service.Methods {
+		methods[w.s.Service.Methods[i].Name] = &w.s.Service.Methods[i]
+	}
+	var next func()
+	next = func() {
+		a, more := arrivals.Next()
+		if !more {
+			return
+		}
+		w.at(w.start+turn.Span(a.At), func() {
+			c := &client{w: w, a: a, Client: day.NewClient(w.s, methods[a.Mix.Method], a)}
+			c.try()
+			next()
+		})
+	}
+	next()
+}
+
+// since is a moment of the day.
+func (w *world) since() time.Duration { return turn.Duration(w.now - w.start) }
--- a/internal/rehearse/config.go
+++ b/internal/rehearse/config.go
@@ -11,9 +11,9 @@
 
 	"mallowlanding/internal/control"
 	"mallowlanding/internal/control/wire"
+	"mallowlanding/internal/day"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/turn"
-	"mallowlanding/router"
 )
 
 // configs is what became of the configurations that a day submitted.
@@ -41,7 +41,7 @@
 	every := time.Duration(float64(time.Second) / max(t.Size, 0.001))
 	for n := 0; sleep(ctx, every); n++ {
 		bad := rng.Float64() < t.Part
-		text, err := configurationOf(m.f.s, m.f.dir, n, bad, rng)
+		text, err := day.Configuration(m.f.s, m.f.dir, n, bad, rng)
 		if err != nil {
 			return err
 		}
@@ -61,42 +61,6 @@
 	return nil
 }
 
-// configurationOf is the day's service with something changed: what does no harm, or what no front end may take.
-func configurationOf(s *settings.Scenario, dir string, n int, bad bool, rng *rand.Rand) (string, error) {
-	next := s.Service
-	next.Methods = append([]settings.Method(nil), s.Service.Methods...)
-	next.CallOuts.ComeBack += 1 + router.Time(n%50)
-	switch n % 4 { // a method comes, and goes with the next
-	case 0:
-		extra := next.Methods[0]
-		extra.Name = fmt.Sprintf("extra-%d", n)
-		next.Methods = append(next.Methods, extra)
-	case 1:
-		next.Functions.Some = append([]settings.Function{{Name: fmt.Sprintf("fn-%d", n), Lanes: 2}}, next.Functions.Some...)
-	}
-	more := ""
-	switch {
-	case n%4 == 2:
-		more = fmt.Sprintf("  <limits whole-open=\"%d\" open=\"100000\"/>\n", 19000+n)
-	case n%4 == 3:
-		more = "  <limits open=\"100000\"/>\n  <listener name=\"more\" socket=\"" + dir + "/FRONT.more" + "\"/>\n"
-	}
-	if bad {
-		switch rng.Intn(4) {
-		case 0: // figures that don't fit each other
-			next.Methods[0].Soft = next.Methods[0].Deadline + 10
-		case 1: // a reference to nothing
-			more = "  <group name=\"g\" zone=\"nowhere\"><worker name=\"x\" socket=\"/nowhere\"/></group>\n"
-		case 2: // out of range
-			next.Methods[0].Lanes = 0
-		case 3: // no service at all
-			next.Methods = nil
-		}
-	}
-	text, err := settings.Text("service", next)
-	return "<configuration>\n" + text + more + "</configuration>\n", err
-}
-
 // killControl kills an instance; it is back after a time.
 func (m *maker) killControl(ctx context.Context, i int, away time.Duration) error {
 	p := m.f.signal(instance(i), syscall.SIGKILL)
--- a/internal/rehearse/trouble.go
+++ b/internal/rehearse/trouble.go
@@ -185,7 +185,7 @@
 		m.note(record.Resumed, name)
 		return nil
 	}
-	return fmt.Errorf("no maker for trouble %q", t.Kind)
+	return fmt.Errorf("trouble %q: sockets of one machine can't show it: emulate it", t.Kind)
 }
 
 func (m *maker) note(kind, frontEnd string) {
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -209,6 +209,9 @@
 	return &next, nil
 }
 
+// Settle is the configuration's service with everything at the places that it has in before.
+func (c *Configuration) Settle(before *Service) *Service { return c.Service.after(before) }
+
 // after is s with everything at the places that it has in before.
 func (s *Service) after(before *Service) *Service {
 	out := *s
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -33,6 +33,14 @@
 	Work      []WorkMethod `e:"work" need:"yes"`
 	Store     *Store       `e:"store"`
 	Control   *ControlOf   `e:"control"`
+	Network   Network      `e:"network"`
+}
+
+// Network is how long messages take in the emulator; sockets have their own.
+type Network struct {
+	Pos
+	DelayUs float64 `a:"delay-us" def:"60" min:"1" max:"10000000"` // mean of one way
+	Spread  float64 `a:"spread" def:"0.5" min:"0" max:"3"`         // sigma of the delays' logarithm
 }
 
 // ControlOf is a fleet's control service.
@@ -87,7 +95,7 @@
 // Trouble is something that goes wrong at a time.
 type Trouble struct {
 	Pos
-	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close config config-flood control-kill control-silence"`
+	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close config config-flood control-kill control-silence slow-function answers-lost cut-to-workers cut-from-workers clock-step"`
 	At   router.Time `a:"at-ms" need:"yes" min:"0" max:"3600000"`
 	For  router.Time `a:"for-ms" def:"1000" min:"1" max:"3600000"`
 	Part float64     `a:"part" def:"0.15" min:"0" max:"1"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,9 @@
 
 import (
 	"cmp"
+	"encoding/xml"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -259,6 +261,16 @@
 	Thrash  float64     `a:"thrash" def:"0.1" min:"0" max:"10"`
 }
 
+// Defaults are the clients' settings that a front end has where nothing is said.
+func Defaults() Clients {
+	var c Clients
+	e := &element{name: "clients", attrs: []xml.Attr{{Name: xml.Name{Local: "socket"}, Value: "none"}}}
+	if err := e.into(reflect.ValueOf(&c).Elem()); err != nil { // the tags of this package are wrong
+		panic(err)
+	}
+	return c
+}
+
 // ReadFrontEnd reads and checks a front end's document.
 func ReadFrontEnd(file string) (*FrontEnd, error) {
 	f := &FrontEnd{}
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -106,6 +106,9 @@
 	hungUntil, slowUntil, errorsUntil, lateUntil router.Time
 	failing                                      float64 // share of loads that fail, until failingUntil
 	failingUntil                                 router.Time
+	slowFunction                                 string // slower by slowOne, until slowOneUntil
+	slowOne                                      float64
+	slowOneUntil                                 router.Time
 	slow, errors                                 float64
 }
 
@@ -359,6 +362,9 @@
 			work *= math.Exp(s*m.rng.NormFloat64() - s*s/2)
 		}
 		work *= 1 + batchCost*float64(len(j.batch))
+		if m.now < m.slowOneUntil && j.Function == m.slowFunction {
+			work *= m.slowOne
+		}
 		if m.now < m.slowUntil {
 			work *= m.slow
 		}
@@ -613,6 +619,14 @@
 // Slow has work take longer, by a factor.
 func (m *Model) Slow(factor float64, span router.Time) { m.slow, m.slowUntil = factor, m.now+span }
 
+// SlowOne has one function's work take longer, by a factor.
+func (m *Model) SlowOne(function string, factor float64, span router.Time) {
+	m.slowFunction, m.slowOne, m.slowOneUntil = function, factor, m.now+span
+}
+
+// Hangs tells whether it answers nothing now.
+func (m *Model) Hangs() bool { return m.now < m.hungUntil }
+
 // LoadsFail has a share of loads fail for a time.
 func (m *Model) LoadsFail(share float64, span router.Time) {
 	m.failing, m.failingUntil = share, m.now+span
