Experiments: a plan's grid over all cores, kept in columnar files, with a report

A control service without followers agreed on a tick twenty times a second and let waiting versions pile up: it now asks first whether anything is due, and one version waits.

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -36,19 +36,20 @@
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Least level of the log's lines: ${enum}."`
 	LogForm  string `enum:"text,json" default:"text" help:"Form of the log, which goes to standard error: ${enum}."`
 
-	Serve    serveCmd    `cmd:"" help:"Run a front end until SIGTERM or SIGINT; it then answers what it holds and leaves."`
-	Worker   workerCmd   `cmd:"" help:"Run a stand-in worker."`
-	Roster   rosterCmd   `cmd:"" help:"Run a stand-in roster, with a stand-in store where its settings have one."`
-	Check    checkCmd    `cmd:"" help:"Check settings files and tell what is wrong with them."`
-	Call     callCmd     `cmd:"" help:"Send one RPC and print its result."`
-	Status   statusCmd   `cmd:"" help:"Tell how a front end stands."`
-	Control  controlCmd  `cmd:"" help:"Run one instance of the stand-in control service."`
-	Config   configCmd   `cmd:"" help:"Submit, compare, watch and take back configurations."`
-	Demo     demoCmd     `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
-	Rehearse rehearseCmd `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
-	Emulate  emulateCmd  `cmd:"" help:"Play a scripted day in virtual time and check the five rules."`
-	Schema   schemaCmd   `cmd:"" help:"Print the XML schema of the settings."`
-	Measure  measureCmd  `cmd:"" help:"Time one front end on warm copies beside a client that speaks to the workers directly."`
+	Serve      serveCmd      `cmd:"" help:"Run a front end until SIGTERM or SIGINT; it then answers what it holds and leaves."`
+	Worker     workerCmd     `cmd:"" help:"Run a stand-in worker."`
+	Roster     rosterCmd     `cmd:"" help:"Run a stand-in roster, with a stand-in store where its settings have one."`
+	Check      checkCmd      `cmd:"" help:"Check settings files and tell what is wrong with them."`
+	Call       callCmd       `cmd:"" help:"Send one RPC and print its result."`
+	Status     statusCmd     `cmd:"" help:"Tell how a front end stands."`
+	Control    controlCmd    `cmd:"" help:"Run one instance of the stand-in control service."`
+	Config     configCmd     `cmd:"" help:"Submit, compare, watch and take back configurations."`
+	Demo       demoCmd       `cmd:"" help:"Run one front end and a few stand-in workers until interrupted."`
+	Rehearse   rehearseCmd   `cmd:"" help:"Play a scripted day on processes of their own and check the five rules."`
+	Emulate    emulateCmd    `cmd:"" help:"Play a scripted day in virtual time and check the five rules."`
+	Experiment experimentCmd `cmd:"" help:"Run a plan of emulated days over all cores, or compare two that were run."`
+	Schema     schemaCmd     `cmd:"" help:"Print the XML schema of the settings."`
+	Measure    measureCmd    `cmd:"" help:"Time one front end on warm copies beside a client that speaks to the workers directly."`
 }
 
 // misuse is an error of whoever called.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -381,7 +381,7 @@
 			s.log.Info().Bool("leads", leads).Msg("lead")
 		}
 		s.m.mu.Lock()
-		wants := s.m.state.Wants(s.m.clock)
+		wants := s.m.state.Wants(max(s.m.clock, rollout.Millis(time.Now().UnixMilli())))
 		s.m.mu.Unlock()
 		if leads && wants {
 			_, _ = s.agree(command{}) // what fails is tried again
--- a/internal/emulate/client.go
+++ b/internal/emulate/client.go
@@ -158,6 +158,8 @@
 	if outcome == day.Lost && c.last != "" && c.last != day.Quit { // no try was left: the last one's outcome stands
 		outcome = c.last
 	}
+	c.w.rpcs = append(c.w.rpcs, RPC{N: int32(c.a.N), Method: c.Method.Name, Function: c.a.Function, DueMs: c.a.At.Seconds() * 1000,
+		TookMs: float64(c.w.now-c.w.start-turn.Span(c.a.At)) / 10, Outcome: outcome, Tries: int32(c.tries)})
 	c.w.book.Count(c.Method, c.a.At, outcome, turn.Duration(c.w.now-c.w.start-turn.Span(c.a.At)))
 }
 
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -23,7 +23,7 @@
 
 func run(t *testing.T, s *settings.Scenario) *Result {
 	t.Helper()
-	r, err := Run(context.Background(), s)
+	r, err := Run(context.Background(), s, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,7 +132,7 @@
 func TestNotPlayable(t *testing.T) {
 	s := read(t, "testdata/short.xml")
 	s.Troubles = []settings.Trouble{{Kind: "control-kill"}}
-	if _, err := Run(context.Background(), s); err == nil || !strings.Contains(err.Error(), "rehearse it on sockets") {
+	if _, err := Run(context.Background(), s, ""); err == nil || !strings.Contains(err.Error(), "rehearse it on sockets") {
 		t.Error(err)
 	}
 }
--- a/internal/emulate/front.go
+++ b/internal/emulate/front.go
@@ -54,7 +54,7 @@
 	f.set = set
 	own := &set.Clients
 	f.e = engine.New(engine.Options{Settings: set.Module(), Seed: w.s.Seed + int64(f.i), Now: f.now(), Margin: own.Margin,
-		CallOff: own.CallOff, Log: func(string) {}})
+		CallOff: own.CallOff, Log: func(string) {}, Module: w.module})
 	methods := w.s.Service.EngineMethods()
 	for i, m := range methods {
 		f.methods[m.Name] = i
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -14,7 +14,10 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"mallowlanding/internal/baseline"
+	"mallowlanding/internal/core"
 	"mallowlanding/internal/day"
+	"mallowlanding/internal/ident"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -52,6 +55,8 @@
 	book    *day.Book
 	open    int // clients whose RPC is not over
 	cuts    []cut
+	module  core.Make // nil: the router
+	rpcs    []RPC
 }
 
 // member is a worker as the roster knows it.
@@ -67,16 +72,28 @@
 // Uint64 implements the library's source.
 func (s source) Uint64() uint64 { return s.Rand.Uint64() }
 
+// RPC is one client's RPC with its repeats, as it ended.
+type RPC struct {
+	N        int32   `parquet:"n"`
+	Method   string  `parquet:"method,dict"`
+	Function string  `parquet:"function,dict"`
+	DueMs    float64 `parquet:"due_ms"`
+	TookMs   float64 `parquet:"took_ms"`
+	Outcome  string  `parquet:"outcome,dict"`
+	Tries    int32   `parquet:"tries"`
+}
+
 // Result is a day that was emulated.
 type Result struct {
 	*day.Outcome
+	RPCs    []RPC
 	Records []record.Record
 	Events  int           // that happened
 	Took    time.Duration // by the real clock
 }
 
-// Run plays a scenario.
-func Run(ctx context.Context, s *settings.Scenario) (*Result, error) {
+// Run plays a scenario; policy names a baseline that decides instead of the module, empty: the module does.
+func Run(ctx context.Context, s *settings.Scenario, policy string) (*Result, error) {
 	if err := playable(s); err != nil {
 		return nil, err
 	}
@@ -84,6 +101,11 @@
 	n := s.Fleet.Network
 	w := &world{s: s, now: epoch, net: rand.New(rand.NewSource(s.Seed ^ 0x6e6574)), workers: map[string]*worker{},
 		members: map[string]*member{}, book: day.NewBook(s)}
+	module, err := baseline.Named(policy, w.truth)
+	if err != nil {
+		return nil, err
+	}
+	w.module = module
 	// a log-normal delay of the stated mean: its median is the mean over e^(sigma^2/2)
 	w.delays = distuv.LogNormal{Mu: math.Log(float64(n.DelayUs)) - n.Spread*n.Spread/2, Sigma: n.Spread, Src: source{w.net}}
 	if s.Fleet.Store != nil {
@@ -131,7 +153,7 @@
 		w.now = max(w.now, due)
 		w.events.Fire(w.now)
 	}
-	return &Result{Outcome: day.Judge(s, w.records, w.book, ""), Records: w.records, Events: events, Took: time.Since(begin)}, nil
+	return &Result{Outcome: day.Judge(s, w.records, w.book, ""), Records: w.records, RPCs: w.rpcs, Events: events, Took: time.Since(begin)}, nil
 }
 
 func (w *world) all() (out []*worker) {
@@ -203,5 +225,20 @@
 	next()
 }
 
+// truth tells how a function stands on a worker, for the baseline that may know: copies' lanes that are free, a load under
+// way, RPCs at work there.
+func (w *world) truth(id router.WorkerID, fn router.FunctionID) (free int, loading bool, jobs int, ok bool) {
+	for _, x := range w.workers {
+		if ident.Worker(x.set.Name) == id {
+			if !x.alive || x.model.Hangs() {
+				return 0, false, 0, false
+			}
+			free, loading = x.model.Stands(func(name string) bool { return ident.Function(name) == fn })
+			return free, loading, x.model.Jobs(), true
+		}
+	}
+	return 0, false, 0, false
+}
+
 // since is a moment of the day.
 func (w *world) since() time.Duration { return turn.Duration(w.now - w.start) }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -164,6 +164,7 @@
 	Now      router.Time
 	Margin   router.Time       // kept of each RPC's time for the answer's way to the client
 	Log      func(text string) // the module's lines for those on call
+	Module   core.Make         // nil: the router
 	CallOff  router.Time       // how long workers have to tell what came of a call-off
 	Listen   func()            // the module asks for changes of the list; nil: they come by themselves
 }
@@ -175,7 +176,7 @@
 		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen,
 		wanted: leave.NewWanted[OrderID](), within: o.CallOff}
 	e.heed(o.Settings)
-	e.core = core.New((*port)(e), o.Now, o.Seed, o.Settings)
+	e.core = core.New(o.Module, (*port)(e), o.Now, o.Seed, o.Settings)
 	return e
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -197,7 +197,7 @@
 	}
 	defer os.RemoveAll(dir)
 	k := &talk{dir: dir, set: map[string]string{}, peers: map[string]*peer{}, servers: map[string]*server{},
-		names: map[string]string{"$BIG": `"` + strings.Repeat("x", 1e6) + `"`,
+		names: map[string]string{"$DIR": dir, "$BIG": `"` + strings.Repeat("x", 1e6) + `"`,
 			"$MANY": strings.Repeat(`{"jsonrpc":"2.0","id":1,"method":"none"},`, 4000) + "1"}}
 	defer k.end(t)
 	for i, line := range strings.Split(steps, "\n") {
--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -173,7 +173,7 @@
 	}
 	in := &instance{h: h, number: number}
 	h.instances[number] = in
-	in.router = core.New(in, h.now, int64(seed), s)
+	in.router = core.New(nil, in, h.now, int64(seed), s)
 	return in, nil
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -90,6 +90,7 @@
 	Newest    Version              `json:"newest"`
 	Stable    Version              `json:"stable"`
 	Candidate Version              `json:"candidate"`
+	Next      Version              `json:"next"` // waits for the candidate's end; 0: none does
 	Stage     int                  `json:"stage"`
 	Since     Millis               `json:"since"`    // the stage began
 	Complete  Millis               `json:"complete"` // all of the stage have accepted; 0: not yet
@@ -123,6 +124,8 @@
 	s.Newest++
 	e.Version, e.State, e.At = s.Newest, Waiting, now
 	s.Entries[e.Version] = e
+	s.drop(fmt.Sprintf("version %d came before it was begun", e.Version))
+	s.Next = e.Version
 	if old := s.Entries[e.Version-min(e.Version, keepTexts)]; old != nil && old.Version != s.Stable && old.Version != s.Candidate {
 		old.Text = ""
 	}
@@ -133,6 +136,13 @@
 	return e.Version
 }
 
+// drop supersedes the version that waits: it is never told to anybody.
+func (s *State) drop(why string) {
+	if s.Next != 0 {
+		s.Entries[s.Next].State, s.Entries[s.Next].Reason, s.Next = Superseded, why, 0
+	}
+}
+
 // Rollback has all followers run what was accepted as version to, or 0: as the one before the last, under a new number and
 // at once: numbers never fall.
 func (s *State) Rollback(now Millis, to Version, by, note string) (Version, error) {
@@ -154,9 +164,7 @@
 	case e.Text == "":
 		return 0, fmt.Errorf("version %d is too old: its text is kept no more", to)
 	}
-	for _, w := range s.waiting() {
-		w.State, w.Reason = Superseded, "rolled back"
-	}
+	s.drop("rolled back")
 	if s.Candidate != 0 {
 		s.end(now, Withdrawn, fmt.Sprintf("rolled back by %s", by))
 	}
@@ -187,22 +195,35 @@
 	}
 }
 
-// Tick is the passing of time, and where the rollout goes on. It tells whether anything changed.
-func (s *State) Tick(now Millis) bool {
-	for name, f := range s.Followers {
-		if now-f.Seen > forget {
-			delete(s.Followers, name)
-		}
-	}
+// step is what a rollout does next.
+type step uint8
+
+const (
+	stay       step = iota
+	begin           // the version that waits
+	draw            // others try: none of the stage is there
+	withdraw        // with a reason
+	complete        // all of the stage have accepted
+	incomplete      // not any more: one came to it
+	further         // the next stage
+	accept
+)
+
+// next tells what is due, and the reason of a withdrawal.
+func (s *State) next(now Millis) (step, string) {
 	if s.Candidate == 0 {
-		return s.proceed(now)
+		if s.Next != 0 {
+			return begin, ""
+		}
+		return stay, ""
 	}
-	accepted, refused, open := 0, 0, []string{}
-	reasons := []string{}
-	chosen := 0
+	accepted, refused, chosen, live, open, reasons := 0, 0, 0, 0, []string{}, []string{}
 	for _, name := range s.names() {
 		f := s.Followers[name]
-		if !f.Chosen || now-f.Seen > s.Set.Live {
+		if now-f.Seen > s.Set.Live {
+			continue
+		}
+		if live++; !f.Chosen {
 			continue
 		}
 		chosen++
@@ -216,50 +237,62 @@
 			open = append(open, name)
 		}
 	}
-	if chosen == 0 { // none of the stage is there: others try
-		s.choose(now)
-		return false
-	}
-	if float64(refused) > s.Set.Refused*float64(chosen) {
-		s.end(now, Withdrawn, fmt.Sprintf("turned down by %d of %d: %s", refused, chosen, strings.Join(reasons[:min(3, len(reasons))], "; ")))
-		return true
-	}
-	if len(open) > 0 {
-		s.end(now, Withdrawn, fmt.Sprintf("no answer for %d ms from %s", s.Set.Patience, strings.Join(open[:min(3, len(open))], ", ")))
-		return true
+	done := accepted+refused == chosen && accepted > 0 // what nobody runs is not accepted
+	switch why := s.worse(); {
+	case chosen == 0 && live > 0:
+		return draw, ""
+	case chosen == 0:
+		return stay, ""
+	case float64(refused) > s.Set.Refused*float64(chosen):
+		return withdraw, fmt.Sprintf("turned down by %d of %d: %s", refused, chosen, strings.Join(reasons[:min(3, len(reasons))], "; "))
+	case len(open) > 0:
+		return withdraw, fmt.Sprintf("no answer for %d ms from %s", s.Set.Patience, strings.Join(open[:min(3, len(open))], ", "))
+	case why != "":
+		return withdraw, why
+	case !done && s.Complete != 0:
+		return incomplete, ""
+	case !done:
+		return stay, ""
+	case s.Complete == 0 && s.Set.Hold > 0 && !s.atOnce():
+		return complete, ""
+	case !s.atOnce() && now-s.Complete < s.Set.Hold:
+		return stay, ""
+	case s.Stage+1 < len(s.stages()):
+		return further, ""
+	}
+	return accept, ""
+}
+
+// Tick is the passing of time, and where the rollout goes on.
+func (s *State) Tick(now Millis) {
+	for name, f := range s.Followers {
+		if now-f.Seen > forget {
+			delete(s.Followers, name)
+		}
 	}
-	if why := s.worse(); why != "" {
+	switch what, why := s.next(now); what {
+	case begin:
+		s.proceed(now)
+	case draw:
+		s.choose(now)
+	case withdraw:
 		s.end(now, Withdrawn, why)
-		return true
-	}
-	if accepted+refused < chosen || accepted == 0 { // what nobody runs is not accepted
-		s.Complete = 0
-		return false
-	}
-	if s.Complete == 0 {
+	case complete:
 		s.Complete = now
-		if s.Set.Hold > 0 && !s.atOnce() {
-			return true
-		}
-	}
-	if now-s.Complete < s.Set.Hold && !s.atOnce() {
-		return false
-	}
-	if s.Stage+1 < len(s.stages()) {
+	case incomplete:
+		s.Complete = 0
+	case further:
 		s.Stage++
 		s.choose(now)
-		return true
+	case accept:
+		s.end(now, Accepted, "")
 	}
-	s.end(now, Accepted, "")
-	return true
 }
 
 // Wants tells whether a tick at now would change anything, so that idle instances need not agree on every one.
 func (s *State) Wants(now Millis) bool {
-	if s.Candidate == 0 {
-		return len(s.waiting()) > 0
-	}
-	return true
+	what, _ := s.next(now)
+	return what != stay
 }
 
 func (s *State) atOnce() bool { return s.Entries[s.Candidate].AtOnce }
@@ -279,33 +312,17 @@
 	return s.Stable
 }
 
-// waiting are the versions not begun, oldest first.
-func (s *State) waiting() (out []*Entry) {
-	for v := s.Newest; v > 0 && v > max(s.Stable, s.Candidate); v-- {
-		if e := s.Entries[v]; e != nil && e.State == Waiting {
-			out = append(out, e)
-		}
-	}
-	slices.Reverse(out)
-	return out
-}
-
-// proceed begins the newest version that waits; those between are never told to anybody.
-func (s *State) proceed(now Millis) bool {
-	w := s.waiting()
-	if s.Candidate != 0 || len(w) == 0 {
-		return false
-	}
-	for _, e := range w[:len(w)-1] {
-		e.State, e.Reason = Superseded, fmt.Sprintf("version %d came before it was begun", w[len(w)-1].Version)
+// proceed begins the version that waits.
+func (s *State) proceed(now Millis) {
+	if s.Candidate != 0 || s.Next == 0 {
+		return
 	}
-	e := w[len(w)-1]
-	e.State, s.Candidate, s.Stage = Rolling, e.Version, 0
+	e := s.Entries[s.Next]
+	e.State, s.Candidate, s.Stage, s.Next = Rolling, e.Version, 0, 0
 	for _, f := range s.Followers {
 		f.Chosen, f.Has, f.Start = false, false, f.Figures
 	}
 	s.choose(now)
-	return true
 }
 
 // choose adds followers until the stage's share of the live ones has the candidate: which they are is drawn anew for
@@ -396,7 +413,7 @@
 // end ends the candidate's rollout. Where one that is withdrawn is in force anywhere, what was accepted before follows
 // under a new number.
 func (s *State) end(now Millis, state, reason string) {
-	e, waits := s.Entries[s.Candidate], s.waiting()
+	e := s.Entries[s.Candidate]
 	e.State, e.Reason = state, reason
 	inForce := false
 	for _, f := range s.Followers {
@@ -425,11 +442,11 @@
 		s.Stable = s.Newest
 		s.Entries[s.Newest] = &Entry{Version: s.Newest, Digest: old.Digest, Text: old.Text, State: Accepted, At: now,
 			Note: fmt.Sprintf("back to %d: %d was withdrawn", old.Version, e.Version)}
-		for _, w := range waits { // what waited was numbered before: it keeps its content under a number above
-			w.State, w.Reason = Superseded, fmt.Sprintf("comes again as %d", s.Newest+1)
-			again := *w
+		if s.Next != 0 { // what waits was numbered before: it keeps its content under a number above
+			again := *s.Entries[s.Next]
+			s.drop(fmt.Sprintf("comes again as %d", s.Newest+1))
 			s.Newest++
-			again.Version, again.State, again.Reason = s.Newest, Waiting, ""
+			again.Version, s.Next = s.Newest, s.Newest
 			s.Entries[s.Newest] = &again
 		}
 	}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -23,7 +23,8 @@
 		t    reflect.Type
 	}{{"front-end", reflect.TypeFor[FrontEnd]()}, {"worker", reflect.TypeFor[Worker]()},
 		{"roster", reflect.TypeFor[Roster]()}, {"scenario", reflect.TypeFor[Scenario]()},
-		{"control", reflect.TypeFor[Control]()}, {"configuration", reflect.TypeFor[Configuration]()}}
+		{"control", reflect.TypeFor[Control]()}, {"configuration", reflect.TypeFor[Configuration]()},
+		{"experiment", reflect.TypeFor[Experiment]()}}
 	for _, r := range roots {
 		fmt.Fprintf(&s.b, "  <xs:element name=%q type=%q/>\n", r.name, r.t.Name())
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -316,6 +316,8 @@
 		_, err = ReadRoster(file)
 	case "scenario":
 		_, err = ReadScenario(file)
+	case "experiment":
+		_, err = ReadExperiment(file)
 	case "control":
 		_, err = ReadControl(file)
 	case "configuration":
@@ -327,7 +329,7 @@
 		_, err = ReadConfiguration(file, in)
 		return root.name, err
 	default:
-		err = root.pos.Errorf("root element %q is none of front-end, worker, roster, scenario, control, configuration", root.name)
+		err = root.pos.Errorf("root element %q is none of front-end, worker, roster, scenario, control, configuration, experiment", root.name)
 	}
 	return root.name, err
 }
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -627,6 +627,16 @@
 // Hangs tells whether it answers nothing now.
 func (m *Model) Hangs() bool { return m.now < m.hungUntil }
 
+// Stands tells of the function that is names: lanes of copies that are free, and whether a load is under way.
+func (m *Model) Stands(is func(name string) bool) (free int, loading bool) {
+	for _, name := range m.order {
+		if fn := m.fns[name]; is(name) {
+			return m.lanes(fn) - fn.active - len(fn.waiting), fn.loading > 0
+		}
+	}
+	return 0, false
+}
+
 // LoadsFail has a share of loads fail for a time.
 func (m *Model) LoadsFail(share float64, span router.Time) {
 	m.failing, m.failingUntil = share, m.now+span
