--- a/internal/emulate/client.go
+++ b/internal/emulate/client.go
@@ -31,6 +31,7 @@
 	ask   *front.Ask
 	conn  *front.Conn // its own, of an impatient client
 	timer turn.Timer
+	to    way
 	over  bool // the client knows how it ended, or cares no more
 	left  bool
 }
@@ -56,7 +57,7 @@
 	t := &attempt{c: c, f: f, life: f.life, mark: fmt.Sprintf("%d/%d", c.a.N, c.tries), ms: math.Floor(float64(span)/1e5) / 10}
 	c.tries++
 	patience, closes, impatient := c.Impatient()
-	if !f.alive {
+	if !f.alive || f.closed {
 		w.after(w.delay(), func() { t.ends(day.Lost, false, 0) })
 		return
 	}
@@ -67,7 +68,7 @@
 		p.Token = c.Token
 	}
 	f.open[t] = true
-	w.after(w.delay(), func() {
+	w.at(t.to.arrival(w), func() {
 		f.do(t.life, func() {
 			t.conn = f.conn(c.a.N, impatient)
 			t.ask = t.conn.Take(p, 0, t)
@@ -87,7 +88,10 @@
 	w := t.c.w
 	t.left = true
 	t.keep(record.Quit, "")
-	w.after(w.delay(), func() {
+	if closes { // no answer can come any more
+		delete(t.f.open, t)
+	}
+	w.at(t.to.arrival(w), func() {
 		t.f.do(t.life, func() {
 			switch {
 			case closes && t.conn != nil:
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -113,7 +113,7 @@
 	}
 	for _, file := range files {
 		s := read(t, file)
-		if playable(s) != nil || s.Fleet.FrontEnds > 20 {
+		if playable(s) != nil || s.Load.Rate > 500 { // what takes long is an experiment
 			continue
 		}
 		t.Run(filepath.Base(file), func(t *testing.T) {
--- a/internal/emulate/front.go
+++ b/internal/emulate/front.go
@@ -34,6 +34,7 @@
 	links   map[string]*link
 	pool    []*front.Conn
 	wake    turn.Timer
+	closed  bool // it leaves, and no more can be sent to it
 	stalled bool
 	inbox   []func()          // came while it stood still
 	open    map[*attempt]bool // whose clients wait
@@ -44,8 +45,11 @@
 
 // begin starts a life.
 func (f *frontEnd) begin() {
+	if f.alive { // another trouble has brought it back
+		return
+	}
 	w := f.w
-	f.alive, f.diedAt, f.stalled, f.inbox = true, 0, false, nil
+	f.alive, f.closed, f.diedAt, f.stalled, f.inbox = true, false, 0, false, nil
 	f.links, f.open, f.pool, f.methods = map[string]*link{}, map[*attempt]bool{}, nil, map[string]int{}
 	set := &settings.FrontEnd{Number: f.i, Of: w.s.Fleet.FrontEnds, Service: w.s.Service, Clients: settings.Defaults()}
 	if zones := w.s.Service.Zones; len(zones) > 0 {
@@ -255,6 +259,8 @@
 	out     map[engine.CallOutID]*flight
 	orders  []engine.OrderID
 	checks  []engine.CheckID
+	to      way // messages of one connection keep their order
+	from    way
 }
 
 // flight is a call-out on its way or at the worker.
@@ -325,7 +331,7 @@
 	if x == nil || w.lost(l.f, x, toWorker) {
 		return
 	}
-	w.after(w.delay(), func() {
+	w.at(l.to.arrival(w), func() {
 		if x.alive && l.round == round {
 			x.do(func() { do(x) })
 		}
@@ -339,7 +345,7 @@
 	if w.lost(f, x, toFront) {
 		return
 	}
-	w.after(w.delay(), func() {
+	w.at(l.from.arrival(w), func() {
 		f.do(life, func() {
 			if l.round == round && l.worker == x {
 				do()
--- a/internal/emulate/trouble.go
+++ b/internal/emulate/trouble.go
@@ -244,14 +244,16 @@
 	f.do(f.life, func() { f.desk.Drain() })
 	var leave func()
 	leave = func() {
-		if f.alive && len(f.open) > 0 {
+		// once all that it holds is answered, nothing more can be sent to it; what was on its way is still denied
+		f.closed = f.closed || f.alive && f.e.Counts().Open+f.desk.Waiting() == 0
+		if f.alive && (!f.closed || len(f.open) > 0) {
 			w.after(50, leave)
 			return
 		}
-		if f.alive {
+		if f.alive { // else it was killed meanwhile, and whoever did that brings it back
 			f.die()
+			f.begin()
 		}
-		f.begin()
 		w.after(pause, func() { w.roll(i+1, pause) })
 	}
 	w.after(50, leave)
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"mallowlanding/internal/engine"
+	"mallowlanding/internal/ident"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -35,7 +36,7 @@
 	if w.workers[set.Name] == nil {
 		w.order = append(w.order, set.Name)
 	}
-	w.workers[set.Name] = x
+	w.workers[set.Name], w.byID[ident.Worker(set.Name)] = x, x
 	cold, started := 0.0, router.Time(0)
 	if set.Cold {
 		cold, started = float64(set.Ramp.Cold)/10, w.now
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -45,6 +45,7 @@
 	shelf   *standin.Shelf
 	fronts  []*frontEnd
 	workers map[string]*worker
+	byID    map[router.WorkerID]*worker
 	order   []string  // of workers' names, as they came
 	fleet   []*worker // that are part of the fleet now; troubles draw from these
 	members map[string]*member
@@ -105,7 +106,7 @@
 	}
 	begin := time.Now()
 	n := s.Fleet.Network
-	w := &world{s: s, now: epoch, net: rand.New(rand.NewSource(s.Seed ^ 0x6e6574)), workers: map[string]*worker{},
+	w := &world{s: s, now: epoch, net: rand.New(rand.NewSource(s.Seed ^ 0x6e6574)), workers: map[string]*worker{}, byID: map[router.WorkerID]*worker{},
 		members: map[string]*member{}, book: day.NewBook(s)}
 	module, err := baseline.Named(policy, w.truth)
 	if err != nil {
@@ -187,6 +188,15 @@
 	return router.Time(whole)
 }
 
+// way is one direction of a connection: what is sent later never comes earlier.
+type way struct{ last router.Time }
+
+// arrival is when a message that is sent now comes.
+func (y *way) arrival(w *world) router.Time {
+	y.last = max(y.last, w.now+w.delay())
+	return y.last
+}
+
 // keep notes what somebody saw; the virtual clock's zero is 1970.
 func (w *world) keep(r record.Record) {
 	r.T = int64(w.now) * int64(turn.Unit)
@@ -234,16 +244,12 @@
 // truth tells how a function stands on a worker, for the baseline that may know: copies' lanes that are free, a load under
 // way, RPCs at work there.
 func (w *world) truth(id router.WorkerID, fn router.FunctionID) (free int, loading bool, jobs int, ok bool) {
-	for _, x := range w.workers {
-		if ident.Worker(x.set.Name) == id {
-			if !x.alive || x.model.Hangs() {
-				return 0, false, 0, false
-			}
-			free, loading = x.model.Stands(func(name string) bool { return ident.Function(name) == fn })
-			return free, loading, x.model.Jobs(), true
-		}
+	x := w.byID[id]
+	if x == nil || !x.alive || x.model.Hangs() {
+		return 0, false, 0, false
 	}
-	return 0, false, 0, false
+	free, loading = x.model.Stands(func(name string) bool { return ident.Function(name) == fn })
+	return free, loading, x.model.Jobs(), true
 }
 
 // since is a moment of the day.
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -76,8 +76,9 @@
 	for _, v := range x.Varied {
 		var next [][]settings.Override
 		for _, g := range grids {
-			for value := range strings.FieldsSeq(v.Values) {
-				next = append(next, append(slices.Clone(g), settings.Override{Path: v.Set, Value: value}))
+			steps, _ := v.Steps() // checked with the plan
+			for _, step := range steps {
+				next = append(next, slices.Concat(g, step))
 			}
 		}
 		grids = next
--- a/internal/hunt/hunt.go
+++ b/internal/hunt/hunt.go
@@ -148,7 +148,7 @@
 				share := c.Load.Mix[i].Share
 				c.Load.Mix = slices.Delete(c.Load.Mix, i, i+1)
 				for j := range c.Load.Mix {
-					c.Load.Mix[j].Share /= 1 - share
+					c.Load.Mix[j].Share = min(1, c.Load.Mix[j].Share/(1-share))
 				}
 			})
 		}
--- a/internal/settings/experiment.go
+++ b/internal/settings/experiment.go
@@ -27,11 +27,31 @@
 	File string `a:"scenario" need:"yes"`
 }
 
-// Vary sets an attribute of the scenario to each of some values: ELEMENT/ELEMENT[N]@ATTRIBUTE, N from 0, 0 if left out.
+// Vary sets attributes of the scenario to each of some values: ELEMENT/ELEMENT[N]@ATTRIBUTE, N from 0, 0 if left out.
 type Vary struct {
 	Pos
-	Set    string `a:"set" need:"yes"`
-	Values string `a:"values" need:"yes"` // by blanks
+	Set    string `a:"set" need:"yes"`    // by blanks: more than one go together
+	Values string `a:"values" need:"yes"` // by blanks, each with a part for each attribute, by commas
+}
+
+// Steps are the overrides of each value.
+func (v *Vary) Steps() (out [][]Override, err error) {
+	paths := strings.Fields(v.Set)
+	for value := range strings.FieldsSeq(v.Values) {
+		parts := strings.Split(value, ",")
+		if len(parts) != len(paths) {
+			return nil, v.Errorf("value %q has %d parts for %d attributes", value, len(parts), len(paths))
+		}
+		var step []Override
+		for i, path := range paths {
+			if !pathForm.MatchString(path) {
+				return nil, v.Errorf("set %q: want ELEMENT/ELEMENT[N]@ATTRIBUTE", path)
+			}
+			step = append(step, Override{path, parts[i]})
+		}
+		out = append(out, step)
+	}
+	return out, nil
 }
 
 // Override is one attribute's value.
@@ -53,13 +73,14 @@
 		}
 	}
 	for _, v := range x.Varied {
-		if !pathForm.MatchString(v.Set) {
-			return nil, v.Errorf("set %q: want ELEMENT/ELEMENT[N]@ATTRIBUTE", v.Set)
+		steps, err := v.Steps()
+		if err != nil {
+			return nil, err
 		}
-		for value := range strings.FieldsSeq(v.Values) {
+		for _, step := range steps {
 			for _, d := range x.Days {
-				if _, err := ReadScenarioWith(d.File, []Override{{v.Set, value}}); err != nil {
-					return nil, v.Errorf("%s=%s: %v", v.Set, value, err)
+				if _, err := ReadScenarioWith(d.File, step); err != nil {
+					return nil, v.Errorf("%v: %v", step, err)
 				}
 			}
 		}
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -30,7 +30,7 @@
 // Fleet is who runs.
 type Fleet struct {
 	Pos
-	FrontEnds int          `a:"front-ends" def:"3" min:"1" max:"64"`
+	FrontEnds int          `a:"front-ends" def:"3" min:"1" max:"1000"`
 	RosterLag router.Time  `a:"roster-lag-ms" def:"1000" min:"0" max:"60000"`
 	Groups    []Group      `e:"workers" need:"yes"`
 	Work      []WorkMethod `e:"work" need:"yes"`
@@ -57,7 +57,7 @@
 // Group is some workers of one make.
 type Group struct {
 	Pos
-	Count   int     `a:"count" need:"yes" min:"1" max:"256"`
+	Count   int     `a:"count" need:"yes" min:"1" max:"10000"`
 	Kind    string  `a:"kind"`
 	Zone    string  `a:"zone"`
 	Cell    string  `a:"cell"`
--- a/router/router.go
+++ b/router/router.go
@@ -302,9 +302,15 @@
 		}
 	}
 	r.count()
-	if r.room == 0 {
-		r.room = 2 * float64(len(r.list)) / r.frontEnds()
-		r.room0, r.tokens = r.room, max(r.room, 1)
+	ready := 0.0
+	for _, w := range r.list {
+		if w.state == Ready {
+			ready++
+		}
+	}
+	// two loads a worker; a fleet that comes one worker after the other has its room grow with it
+	if grown := 2*ready/r.frontEnds() - r.room0; grown > 0 {
+		r.room, r.room0, r.tokens = r.room+grown, r.room0+grown, max(r.tokens+grown, 1)
 	}
 }
 
