--- a/router/router.go
+++ b/router/router.go
@@ -74,9 +74,10 @@
 	room, totalCap  float64 // the caps of both: learned from the store; what the workers' memory holds
 	room0, tokens   float64 // our share of two loads a worker; loads that may begin now
 	tokensAt        Time
-	slow, real      float64 // median slowness of the workers, 1 at least; share of our loads that found no copy
-	near, allIll    bool    // loads stay in the zone; health is ignored
-	dirty, beats    bool    // settling is due, with housekeeping
+	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
+	slow, real      float64            // median slowness of the workers, 1 at least; share of our loads that found no copy
+	near, allIll    bool               // loads stay in the zone; health is ignored
+	dirty, beats    bool               // settling is due, with housekeeping
 }
 
 type method struct {
@@ -177,7 +178,7 @@
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
-		fns: map[FunctionID]*function{}, born: now, turn: now, slow: 1, real: 1}
+		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1}
 	r.now = now
 	r.heed(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
@@ -656,13 +657,7 @@
 	w.sent = slices.DeleteFunc(w.sent, func(s callOut) bool { return s.at < r.now-window-beat })
 	from := r.set.num("rules.cold-from", 0.1)
 	share := from + (1-from)*max(0, float64(r.now-window-w.started))/float64(r.set.span("rules.cold", 20*sec))
-	warm, served := 0.0, 0.0
-	for _, o := range r.list {
-		if o.kind == w.kind && o.state == Ready && !r.cold(o) {
-			warm, served = warm+1, served+o.served
-		}
-	}
-	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * served / max(warm, 1) * float64(window)
+	budget := r.set.num("rules.fall-multiple", 1) * share * coldStretch * r.could[w.kind] * float64(window)
 	all := r.frontEnds()
 	turn := math.Mod(r.set.num("me", 0)+float64(mix(uint64(w.id))%uint64(all)), all)
 	budget = (max(math.Floor(budget/m.mean()+1-(turn+1)/all), min(1, coldFew-turn)) - 0.5) * m.mean()
@@ -966,8 +961,14 @@
 
 // keepHouse fades what is old, looks after the workers and gives up what waited for too long.
 func (r *Router) keepHouse() {
+	warm := map[KindID]float64{}
 	for _, w := range r.list {
-		w.served -= w.served * float64(beat) / float64(servedFade)
+		if w.served -= w.served * float64(beat) / float64(servedFade); w.state == Ready && !r.cold(w) {
+			if warm[w.kind]++; warm[w.kind] == 1 {
+				r.could[w.kind] = 0
+			}
+			r.could[w.kind] += (w.served - r.could[w.kind]) / warm[w.kind]
+		}
 	}
 	for _, fn := range r.fns {
 		fn.flow -= fn.flow * float64(beat) / float64(servedFade)
