One gate, one list of workers, one table of answer codes for sockets and emulator

Read over: the emulator wrote again what the gateway, the rehearsal and the links had, so that the two could drift apart. Gate, CustomerNames, Bound, ZoneOf and Workers now belong to settings, Outcome and Warmth to links, and both sides call them; child processes of measurements start in one place. An unused error and a field that nobody read go.

--- a/cmd/mallowlanding/config.go
+++ b/cmd/mallowlanding/config.go
@@ -16,7 +16,6 @@
 	"mallowlanding/internal/gateway"
 	"mallowlanding/internal/resources"
 	"mallowlanding/internal/settings"
-	"mallowlanding/internal/steer"
 )
 
 type controlCmd struct {
@@ -80,7 +79,7 @@
 		return err
 	}
 	defer done()
-	v, err := w.Submit(ctx, &wire.SubmitRequest{Text: string(text), By: steer.Own(), Note: c.Note, Base: c.Base, Unchecked: c.Unchecked})
+	v, err := w.Submit(ctx, &wire.SubmitRequest{Text: string(text), By: own(), Note: c.Note, Base: c.Base, Unchecked: c.Unchecked})
 	if err != nil {
 		return err
 	}
@@ -186,7 +185,7 @@
 		return err
 	}
 	defer done()
-	v, err := w.Rollback(ctx, c.Version, steer.Own(), c.Note)
+	v, err := w.Rollback(ctx, c.Version, own(), c.Note)
 	if err != nil {
 		return err
 	}
@@ -297,3 +296,11 @@
 	}
 	return nil
 }
+
+// own tells who submits: the user of this process.
+func own() string {
+	if host, err := os.Hostname(); err == nil {
+		return fmt.Sprintf("uid %d at %s", os.Getuid(), host)
+	}
+	return fmt.Sprintf("uid %d", os.Getuid())
+}
--- a/internal/emulate/front.go
+++ b/internal/emulate/front.go
@@ -7,6 +7,7 @@
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/ident"
 	"mallowlanding/internal/limits"
+	"mallowlanding/internal/links"
 	"mallowlanding/internal/record"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -51,24 +52,19 @@
 	w := f.w
 	f.alive, f.closed, f.diedAt, f.stalled, f.inbox = true, false, 0, false, nil
 	f.links, f.open, f.pool, f.methods = map[string]*link{}, map[*attempt]bool{}, nil, map[string]int{}
-	set := &settings.FrontEnd{Number: f.i, Of: w.s.Fleet.FrontEnds, Service: w.s.Service, Clients: settings.Defaults()}
-	if zones := w.s.Service.Zones; len(zones) > 0 {
-		set.Zone = zones[f.i%len(zones)].Name
-	}
+	set := &settings.FrontEnd{Number: f.i, Of: w.s.Fleet.FrontEnds, Zone: w.s.ZoneOf(f.i), Service: w.s.Service,
+		Clients: settings.Defaults()}
 	f.set = set
 	own := &set.Clients
+	own.Open = 100000 // as rehearsals have it
 	f.e = engine.New(engine.Options{Settings: set.Module(), Seed: w.s.Seed + int64(f.i), Now: f.now(), Margin: own.Margin,
 		CallOff: own.CallOff, Log: func(string) {}, Module: w.module})
 	methods := w.s.Service.EngineMethods()
 	for i, m := range methods {
 		f.methods[m.Name] = i
 	}
-	var customers []string
-	for _, c := range w.s.Service.Customers {
-		customers = append(customers, c.Name)
-	}
-	f.desk = front.NewDesk(f.e, front.Options{Methods: methods, Customers: customers, Function: w.s.Service.FunctionFor(),
-		Margin: own.Margin, Gate: f.gate()})
+	f.desk = front.NewDesk(f.e, front.Options{Methods: methods, Customers: w.s.Service.CustomerNames(), Function: w.s.Service.FunctionFor(),
+		Margin: own.Margin, Gate: f.set.Gate()})
 	w.keep(record.Record{Kind: record.Restarts, Who: "world", FrontEnd: f.name()})
 	life := f.life
 	w.after(w.delay(), func() {
@@ -82,24 +78,12 @@
 func (f *frontEnd) renew(conf *settings.Configuration) {
 	next := *f.set
 	next.Service = *conf.Settle(&f.set.Service)
-	if l := conf.Limits; l != nil {
-		next.Clients.Whole = l.Whole
-	}
+	next.Clients.Bound(conf.Limits)
 	f.set = &next
 	methods := next.Service.EngineMethods()
-	var customers []string
-	for _, c := range next.Service.Customers {
-		customers = append(customers, c.Name)
-	}
 	module := next.Module()
 	f.e.Renew(module, router.Prepare(module), methods)
-	f.desk.Renew(front.Prepare(methods, customers, next.Service.FunctionFor()), f.gate())
-}
-
-func (f *frontEnd) gate() limits.Settings {
-	c := &f.set.Clients
-	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes}, Held: c.Held,
-		ComeBack: f.set.Service.CallOuts.ComeBack}
+	f.desk.Renew(front.Prepare(methods, next.Service.CustomerNames(), next.Service.FunctionFor()), f.set.Gate())
 }
 
 // now is its own clock.
@@ -354,12 +338,6 @@
 	})
 }
 
-var outcomes = map[int]router.Outcome{0: router.OK, -32010: router.Full, -32011: router.Missed, -32012: router.Errored,
-	-32013: router.CalledOff}
-
-var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad, "joined": router.JoinedLoad,
-	"load failed": router.LoadFailed}
-
 // Send implements engine.Link.
 func (l *link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
 	w, fl, name := l.f.w, &flight{}, l.f.name()
@@ -384,11 +362,7 @@
 					return
 				}
 				delete(l.out, id)
-				o, known := outcomes[a.Code]
-				if !known {
-					o = router.Errored
-				}
-				l.f.e.Answered(id, l.id, o, warmths[a.Warmth], a.Crowd, report, []byte(a.Message), nil)
+				l.f.e.Answered(id, l.id, links.Outcome(a.Code), links.Warmth(a.Warmth), a.Crowd, report, []byte(a.Message), nil)
 			})
 		}
 		x.model.Request(j)
@@ -430,11 +404,7 @@
 		x.model.Hold(orderAt{l, id}, function, copies, fn.Memory, fn.Lanes, fn.Load, func(code, stand int) {
 			l.back(x, func() {
 				l.orders = without(l.orders, id)
-				o, known := outcomes[code]
-				if !known {
-					o = router.Errored
-				}
-				l.f.e.Held(id, o, stand)
+				l.f.e.Held(id, links.Outcome(code), stand)
 			})
 		})
 	})
--- a/internal/emulate/trouble.go
+++ b/internal/emulate/trouble.go
@@ -143,7 +143,7 @@
 		}
 		if t.Size > 0.5 {
 			for _, f := range w.fronts {
-				if zones := w.s.Service.Zones; zones[f.i%len(zones)].Name == t.Zone {
+				if w.s.ZoneOf(f.i) == t.Zone {
 					w.kill(f, t.For)
 				}
 			}
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -118,19 +117,10 @@
 	if s.Fleet.Store != nil {
 		w.shelf = standin.NewShelf(s.Fleet.Store, &w.events)
 	}
-	i := 0
-	for _, g := range s.Fleet.Groups {
-		for range g.Count {
-			zone := g.Zone
-			if zone == "" && len(s.Service.Zones) > 0 {
-				zone = s.Service.Zones[i%len(s.Service.Zones)].Name
-			}
-			w.begin(&settings.Worker{Name: fmt.Sprintf("worker-%d", i), Zone: zone, Cell: g.Cell, Kind: g.Kind, Seed: s.Seed + int64(i),
-				Machine: g.Machine, Ramp: s.Service.Rules, Work: s.Fleet.Work})
-			i++
-		}
+	for _, set := range s.Workers() {
+		w.begin(set)
 	}
-	w.next = i
+	w.next = len(w.order)
 	w.fleet = slices.Clone(w.all())
 	for i := range s.Fleet.FrontEnds {
 		f := &frontEnd{w: w, i: i}
--- a/internal/gateway/configured.go
+++ b/internal/gateway/configured.go
@@ -270,7 +270,7 @@
 // Apply implements steer.Change: one turn of the loop, in which nothing can fail any more.
 func (ch *change) Apply() error {
 	c, next := ch.c, ch.next
-	module, methods, customers := next.Module(), next.Service.EngineMethods(), customersOf(&next.Service)
+	module, methods, customers := next.Module(), next.Service.EngineMethods(), next.Service.CustomerNames()
 	function, following := next.Service.FunctionFor(), c.following(next, ch.conf)
 	var models []kserve.Model
 	if c.ks != nil {
@@ -281,7 +281,7 @@
 	if !c.loop.Post(func() {
 		begin := time.Now()
 		c.e.Renew(module, prepared, methods)
-		c.desk.Renew(service, gate(next))
+		c.desk.Renew(service, next.Gate())
 		if c.ks != nil {
 			c.ks.Renew(models)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"mallowlanding/internal/handover"
 	"mallowlanding/internal/keys"
 	"mallowlanding/internal/kserve"
-	"mallowlanding/internal/limits"
 	"mallowlanding/internal/links"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/turn"
@@ -155,8 +154,8 @@
 		SendBytes: f.Workers.SendBytes, RedialMin: turn.Duration(f.Workers.RedialMin),
 		RedialMax: turn.Duration(f.Workers.RedialMax), Wrap: o.Link, Log: log})
 	fo := follow.New(loop, e, ls, cf.following(f, cf.booted))
-	desk := front.NewDesk(e, front.Options{Methods: f.Service.EngineMethods(), Customers: customersOf(&f.Service),
-		Function: f.Service.FunctionFor(), Margin: f.Clients.Margin, Gate: gate(f), Wrap: o.Client})
+	desk := front.NewDesk(e, front.Options{Methods: f.Service.EngineMethods(), Customers: f.Service.CustomerNames(),
+		Function: f.Service.FunctionFor(), Margin: f.Clients.Margin, Gate: f.Gate(), Wrap: o.Client})
 	srv := clients.New(loop, desk, clients.Options{
 		Limits: clients.Limits{Connections: f.Clients.Connections, Open: f.Clients.Open,
 			ValueBytes: f.Clients.ValueBytes, AnswerBytes: f.Clients.AnswerBytes,
@@ -330,17 +329,6 @@
 	return out
 }
 
-// customersOf are the customers' names by place, empty where one is gone.
-func customersOf(s *settings.Service) []string {
-	out := make([]string, len(s.Customers))
-	for i, c := range s.Customers {
-		if out[i] = c.Name; c.Gone {
-			out[i] = ""
-		}
-	}
-	return out
-}
-
 // place is a socket of the second front.
 type place struct{ front, network, address string }
 
@@ -408,13 +396,6 @@
 	return handed, nil
 }
 
-func gate(f *settings.FrontEnd) limits.Settings {
-	c := &f.Clients
-	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes},
-		Peer: limits.Bound{RPCs: c.Peer, Bytes: c.PeerBytes}, Conn: limits.Bound{RPCs: c.Open, Bytes: c.OpenBytes},
-		Held: c.Held, ComeBack: f.Service.CallOuts.ComeBack}
-}
-
 func allow(f *settings.FrontEnd) (list access.List) {
 	for _, a := range f.Clients.Allow {
 		list = append(list, access.Rule{UID: a.UID, GID: a.GID, Methods: strings.Fields(a.Methods),
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -425,27 +425,37 @@
 
 // answered hands a call-out's answer to the engine.
 func (l *Link) answered(id engine.CallOutID, a answer) {
-	o := router.Errored // also for codes that we don't know: they prove nothing
-	switch a.code {
-	case 0:
+	if a.code == 0 {
 		if a.value == nil {
 			a.value = []byte("null")
 		}
 		l.s.engine.Answered(id, l.id, router.OK, a.warmth, a.crowd, a.report, a.value, a.blob)
 		return
-	case Full:
-		o = router.Full
-	case Missed:
-		o = router.Missed
-	case CalledOff:
-		o = router.CalledOff
 	}
 	if a.message == "" {
 		a.message = "error " + strconv.Itoa(a.code)
 	}
-	l.s.engine.Answered(id, l.id, o, a.warmth, a.crowd, a.report, []byte(l.name+": "+a.message), nil)
+	l.s.engine.Answered(id, l.id, Outcome(a.code), a.warmth, a.crowd, a.report, []byte(l.name+": "+a.message), nil)
+}
+
+// Outcome is what a worker's code tells of an RPC; codes that we don't know prove nothing.
+func Outcome(code int) router.Outcome {
+	switch code {
+	case 0:
+		return router.OK
+	case Full:
+		return router.Full
+	case Missed:
+		return router.Missed
+	case CalledOff:
+		return router.CalledOff
+	}
+	return router.Errored
 }
 
+// Warmth is what a worker's word tells of the copy.
+func Warmth(word string) router.Warmth { return warmths[word] }
+
 var warmths = map[string]router.Warmth{"stood": router.StoodWarm, "began": router.BeganLoad,
 	"joined": router.JoinedLoad, "load failed": router.LoadFailed}
 
--- a/internal/measure/config.go
+++ b/internal/measure/config.go
@@ -80,18 +80,6 @@
 	return sockets, nil
 }
 
-// child runs a subcommand until the context ends.
-func child(ctx context.Context, procs *errgroup.Group, exe, command, file string) error {
-	cmd := exec.CommandContext(ctx, exe, "--log-level", "error", command, file)
-	cmd.Stderr = os.Stderr
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	procs.Go(func() error { _ = cmd.Wait(); return nil })
-	return nil
-}
-
 // checked is a version that a follower without a front end has looked at as one does.
 type checked struct{}
 
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -241,6 +241,19 @@
 	return r
 }
 
+// child runs a subcommand until the context ends, with some environment of its own.
+func child(ctx context.Context, procs *errgroup.Group, exe, command, file string, env ...string) error {
+	cmd := exec.CommandContext(ctx, exe, "--log-level", "error", command, file)
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.Env = append(os.Environ(), env...)
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	procs.Go(func() error { _ = cmd.Wait(); return nil })
+	return nil
+}
+
 // start runs roster, workers and a front end as processes of their own.
 func start(ctx context.Context, procs *errgroup.Group, exe, dir string, o Options, limits, kserve string) error {
 	docs := map[string]string{
@@ -265,18 +278,13 @@
 		if err := os.WriteFile(file, []byte(docs[name]), 0o600); err != nil {
 			return err
 		}
-		cmd := exec.CommandContext(ctx, exe, "--log-level", "error", command[name], file)
-		cmd.Stderr = os.Stderr
-		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		cores := 1 // the others' on this machine
 		if name == "front" {
 			cores = o.Cores
 		}
-		cmd.Env = append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(cores))
-		if err := cmd.Start(); err != nil {
+		if err := child(ctx, procs, exe, command[name], file, "GOMAXPROCS="+strconv.Itoa(cores)); err != nil {
 			return err
 		}
-		procs.Go(func() error { _ = cmd.Wait(); return nil })
 		socket := filepath.Join(dir, name+".sock")
 		for try := 0; ; try++ {
 			if nc, err := net.Dial("unix", socket); err == nil {
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -113,24 +113,14 @@
 	if err != nil {
 		return err
 	}
-	n := 0
-	for _, g := range s.Fleet.Groups {
-		for range g.Count {
-			zone := g.Zone
-			if zone == "" && len(s.Service.Zones) > 0 {
-				zone = s.Service.Zones[n%len(s.Service.Zones)].Name
-			}
-			w := &settings.Worker{Name: fmt.Sprintf("worker-%d", n), Zone: zone, Cell: g.Cell, Kind: g.Kind,
-				Seed: s.Seed + int64(n), Machine: g.Machine, Ramp: s.Service.Rules, Work: s.Fleet.Work,
-				Roster: &settings.RosterAt{Socket: roster.Socket}}
-			if roster.Store != nil {
-				w.Store = &settings.StoreAt{Socket: roster.Store.Socket}
-			}
-			f.workers = append(f.workers, w)
-			n++
+	f.workers = s.Workers()
+	for _, w := range f.workers {
+		w.Roster = &settings.RosterAt{Socket: roster.Socket}
+		if roster.Store != nil {
+			w.Store = &settings.StoreAt{Socket: roster.Store.Socket}
 		}
 	}
-	f.next = n
+	f.next = len(f.workers)
 	var group errgroup.Group
 	for _, w := range f.workers {
 		group.Go(func() error { return f.startWorker(ctx, w) })
@@ -250,10 +240,10 @@
 }
 
 func zoneAttr(s *settings.Scenario, i int) string {
-	if len(s.Service.Zones) == 0 {
-		return ""
+	if zone := s.ZoneOf(i); zone != "" {
+		return fmt.Sprintf(" zone=%q", zone)
 	}
-	return fmt.Sprintf(" zone=%q", s.Service.Zones[i%len(s.Service.Zones)].Name)
+	return ""
 }
 
 func frontEnd(i int) string { return fmt.Sprintf("front-%d", i) }
--- a/internal/rehearse/trouble.go
+++ b/internal/rehearse/trouble.go
@@ -119,7 +119,7 @@
 		var wg sync.WaitGroup
 		if t.Size > 0.5 {
 			for i := range m.f.s.Fleet.FrontEnds {
-				if zoneAttr(m.f.s, i) == fmt.Sprintf(" zone=%q", t.Zone) {
+				if m.f.s.ZoneOf(i) == t.Zone {
 					wg.Add(1)
 					go func() { defer wg.Done(); _ = m.killFront(ctx, i, span) }()
 				}
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"cmp"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 
+	"mallowlanding/internal/limits"
 	"mallowlanding/router"
 )
 
@@ -179,11 +179,7 @@
 func (f *FrontEnd) With(c *Configuration, before *Service) (*FrontEnd, error) {
 	next := *f
 	next.Service = c.Service
-	if l := c.Limits; l != nil {
-		next.Clients.Open, next.Clients.OpenBytes = l.Open, l.OpenBytes
-		next.Clients.Whole, next.Clients.WholeBytes = l.Whole, l.WholeBytes
-		next.Clients.Peer, next.Clients.PeerBytes, next.Clients.Held = l.Peer, l.PeerBytes, l.Held
-	}
+	next.Clients.Bound(c.Limits)
 	if len(c.Models) > 0 {
 		if f.KServe == nil {
 			return nil, c.Models[0].Errorf("model %q: this front end has no kserve element to serve it", c.Models[0].Name)
@@ -212,6 +208,34 @@
 // Settle is the configuration's service with everything at the places that it has in before.
 func (c *Configuration) Settle(before *Service) *Service { return c.Service.after(before) }
 
+// Bound takes over the bounds of a configuration; nil: it has none.
+func (c *Clients) Bound(l *Limits) {
+	if l == nil {
+		return
+	}
+	c.Open, c.OpenBytes, c.Whole, c.WholeBytes = l.Open, l.OpenBytes, l.Whole, l.WholeBytes
+	c.Peer, c.PeerBytes, c.Held = l.Peer, l.PeerBytes, l.Held
+}
+
+// Gate are the figures of the front end's gate.
+func (f *FrontEnd) Gate() limits.Settings {
+	c := &f.Clients
+	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes},
+		Peer: limits.Bound{RPCs: c.Peer, Bytes: c.PeerBytes}, Conn: limits.Bound{RPCs: c.Open, Bytes: c.OpenBytes},
+		Held: c.Held, ComeBack: f.Service.CallOuts.ComeBack}
+}
+
+// CustomerNames are the customers' by place, empty where one is gone.
+func (s *Service) CustomerNames() []string {
+	out := make([]string, len(s.Customers))
+	for i, c := range s.Customers {
+		if out[i] = c.Name; c.Gone {
+			out[i] = ""
+		}
+	}
+	return out
+}
+
 // after is s with everything at the places that it has in before.
 func (s *Service) after(before *Service) *Service {
 	out := *s
@@ -344,6 +368,3 @@
 	}
 	return "<configuration>\n  <service>\n" + service.String() + "  </service>\n" + rest.String() + "</configuration>\n"
 }
-
-// ErrNoControl: a front end's settings name no control service.
-var ErrNoControl = errors.New("the settings have no control element")
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"cmp"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -153,6 +155,26 @@
 	Zone string      `a:"zone"`
 }
 
+// ZoneOf is the zone of the n-th worker or front end that names none: each in turn; empty where there are no zones.
+func (s *Scenario) ZoneOf(n int) string {
+	if len(s.Service.Zones) == 0 {
+		return ""
+	}
+	return s.Service.Zones[n%len(s.Service.Zones)].Name
+}
+
+// Workers are the fleet's at the beginning, without their sockets.
+func (s *Scenario) Workers() (out []*Worker) {
+	for _, g := range s.Fleet.Groups {
+		for range g.Count {
+			n := len(out)
+			out = append(out, &Worker{Name: fmt.Sprintf("worker-%d", n), Zone: cmp.Or(g.Zone, s.ZoneOf(n)), Cell: g.Cell, Kind: g.Kind,
+				Seed: s.Seed + int64(n), Machine: g.Machine, Ramp: s.Service.Rules, Work: s.Fleet.Work})
+		}
+	}
+	return out
+}
+
 // ReadScenario reads and checks a scenario.
 func ReadScenario(file string) (*Scenario, error) {
 	s := &Scenario{}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +66,6 @@
 	quit   chan struct{} // closed once Run is over: events are passed over
 
 	parts  []settings.Part // of what is held
-	text   string
 	from   string
 	offers map[adopt.Version]*offer
 	send   func(*wire.FollowRequest) // nil: no stream
@@ -109,7 +106,7 @@
 	if b.Kept.Version > 0 {
 		held = adopt.Held{Version: adopt.Version(b.Kept.Version), Digest: resources.Digest(b.Kept.Text)}
 		if _, parts, err := resources.Canonical("kept", b.Kept.Text); err == nil { // it was in force
-			s.parts, s.text = parts, b.Kept.Text
+			s.parts = parts
 		}
 	}
 	s.f = adopt.New((*port)(s), held, held.Version > 0)
@@ -348,7 +345,7 @@
 // Keep implements adopt.Port.
 func (p *port) Keep(v adopt.Version) {
 	s, o := (*Steer)(p), p.offers[v]
-	s.parts, s.text = o.parts, o.text
+	s.parts = o.parts
 	for other := range s.offers {
 		if other <= v {
 			delete(s.offers, other)
@@ -399,11 +396,3 @@
 func (p *port) Tell(held adopt.Held, refused adopt.Version, kept, _ bool) {
 	(*Steer)(p).say(&wire.FollowRequest{Version: uint64(held.Version), Digest: held.Digest, Kept: kept, Refused: uint64(refused)})
 }
-
-// Own tells who submits: the user of this process.
-func Own() string {
-	if host, err := os.Hostname(); err == nil {
-		return fmt.Sprintf("uid %d at %s", os.Getuid(), host)
-	}
-	return fmt.Sprintf("uid %d", os.Getuid())
-}
