A function's share is counted as RPCs come, from a guess: hot functions get their homes at once

Cause: at many front ends with an RPC or ten a second each, a function's homes were counted by what its answers had shown, so at the start every front end sent a hot function to one worker. Change: work asked for, not answered, over 20 s, with a guess of 5% that weighs as 20 RPCs.

--- a/router/router.go
+++ b/router/router.go
@@ -39,6 +39,9 @@
 	silentWorks = 6        // an answer later than so many usual times counts towards silence
 	zoneSpare   = 3        // a zone's memory over that of all functions in use, for loads to stay in the zone
 	servedFade  = 5 * sec  // time over which the work of warm workers is averaged
+	askedFade   = 20 * sec // time over which the work asked for is averaged, for a function's share of it
+	shareBefore = 0.05     // share of the work of a function seen for the first time: such are often popular
+	shareWeight = 20       // RPCs that this guess weighs as much as
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
@@ -76,6 +79,7 @@
 	tokensAt        Time
 	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
 	slow, real      float64            // median slowness of the workers, 1 at least; share of our loads that found no copy
+	asked           float64            // work of RPCs taken lately
 	near, allIll    bool               // loads stay in the zone; health is ignored
 	dirty, beats    bool               // settling is due, with housekeeping
 }
@@ -97,7 +101,8 @@
 	lanes      int
 	load, work float64 // usual time of a load, and on a warm instance
 	out, held  int     // RPCs out and held
-	need, flow float64 // recent peak of their sum; our work for it per unit of time, lately
+	need       float64 // recent peak of their sum
+	asked      float64 // work of its RPCs taken lately
 	needAt     Time
 	errors     int // load errors in a row
 	backoff    Time
@@ -375,6 +380,7 @@
 		p.gain *= r.set.num("over-share-gain", 1)
 	}
 	r.taken = append(r.taken, now)
+	fn.asked, r.asked = fn.asked+p.m.mean(), r.asked+p.m.mean()
 	p.hold()
 	fn.need, fn.needAt = max(fn.recent(now), float64(fn.out+fn.held)), now
 	return p
@@ -565,11 +571,11 @@
 func (p *RPC) homes() []*worker {
 	r, fn := p.r, p.fn
 	var homes []*worker
-	mean, served, near, count := 0.0, 0.0, 0, 0
+	mean, near, count := 0.0, 0, 0
 	for _, w := range r.list {
 		mean += float64(w.active) / float64(len(r.list))
 		if w.state == Ready && !r.far(w) {
-			served, near = served+w.served, near+1
+			near++
 		}
 	}
 	for _, w := range r.list {
@@ -587,7 +593,7 @@
 		return mix(uint64(fn.id)*spread^uint64(w.id)) | 1<<63
 	}
 	slices.SortFunc(homes, func(a, b *worker) int { return cmp.Compare(rank(b), rank(a)) })
-	n := min(len(homes), max(1, 1+int(homeShare*fn.flow*float64(near)/max(served, 1e-9))-count))
+	n := min(len(homes), max(1, 1+int(homeShare*p.share()*float64(near))-count))
 	for n > 1 && r.far(homes[n-1]) {
 		n--
 	}
@@ -596,6 +602,13 @@
 	return homes
 }
 
+// share is the function's part of the work asked for, this RPC left out: it is why we look. Front ends that
+// carry little see few RPCs, so a guess comes first and gives way to what was seen.
+func (p *RPC) share() float64 {
+	one := p.m.mean()
+	return (max(0, p.fn.asked-one) + shareBefore*shareWeight*one) / (max(0, p.r.asked-one) + shareWeight*one)
+}
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
@@ -787,7 +800,6 @@
 	case OK:
 		w.errors -= w.errors / 4
 		w.served += p.m.mean() / float64(servedFade)
-		fn.flow += p.m.mean() / float64(servedFade)
 		if now := w.holds[fn.id]; now == nil || now.asked {
 			w.holds[fn.id] = in
 		}
@@ -971,8 +983,9 @@
 		}
 	}
 	for _, fn := range r.fns {
-		fn.flow -= fn.flow * float64(beat) / float64(servedFade)
+		fn.asked -= fn.asked * float64(beat) / float64(askedFade)
 	}
+	r.asked -= r.asked * float64(beat) / float64(askedFade)
 	r.mayOrder() // drops what lies before its window
 	r.count()
 	r.watchSilence()
