Slower answers count as others' RPCs in the order of warm instances

Cause: a front end of a hundred has one RPC out at most, so fewest active tells it nothing, and where answers tell no crowd and workers report no load nothing else does. Ties went to the instance that had executed least. Change: an instance is as far behind as its worker is slower than the median (the smoothed slowness that health reads).

--- a/router/router.go
+++ b/router/router.go
@@ -421,11 +421,11 @@
 			continue
 		}
 		if in.loading {
-			if !in.ordered && (joining == nil || in.before(joining.holds[p.fn.id], r.rng)) {
+			if !in.ordered && (joining == nil || p.before(w, joining)) {
 				joining = w
 			}
 		} else if best == nil || r.far(best) && !r.far(w) ||
-			r.far(w) == r.far(best) && in.before(best.holds[p.fn.id], r.rng) {
+			r.far(w) == r.far(best) && p.before(w, best) {
 			best = w
 		}
 	}
@@ -487,11 +487,16 @@
 	return in
 }
 
-// before is the design's order of ties among warm instances; active counts others' RPCs as last told.
-func (in *instance) before(other *instance, rng *rand.Rand) bool {
-	c := cmp.Or(in.active+int(math.Round(in.others))-other.active-int(math.Round(other.others)),
+// before is the design's order of ties among warm instances; active counts others' RPCs as last told, and
+// those that answers slower than elsewhere tell of.
+func (p *RPC) before(w, best *worker) bool {
+	r, in, other := p.r, w.holds[p.fn.id], best.holds[p.fn.id]
+	behind := func(w *worker, in *instance) int {
+		return in.active + int(math.Round(in.others)+math.Round(w.slow/r.slow-1))
+	}
+	c := cmp.Or(behind(w, in)-behind(best, other),
 		in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse), cmp.Compare(in.since, other.since))
-	return c < 0 || c == 0 && rng.Intn(2) == 0
+	return c < 0 || c == 0 && r.rng.Intn(2) == 0
 }
 
 // hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
