Usual times go by the hint, and a client's repeat is sent only with three usual times left

Ruled out: the list of workers (73 in use), the store (0.7 of its capacity), tokened RPCs (aborted, so not repeated). Change: an RPC's usual time is its function's times half the hint's deviation from the function's mean; a marked repeat is given up at once unless three usual times are left.

--- a/router/router.go
+++ b/router/router.go
@@ -42,6 +42,8 @@
 	askedFade   = 20 * sec // time over which the work asked for is averaged, for a function's share of it
 	shareBefore = 0.05     // share of the work of a function seen for the first time: such are often popular
 	shareWeight = 20       // RPCs that this guess weighs as much as
+	hintTrust   = 0.5      // part of a hint's deviation from its function's mean that is believed: hints are rough
+	repeatWorks = 3        // a client's repeat is worth sending with so many usual times left
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
@@ -103,6 +105,7 @@
 	out, held  int     // RPCs out and held
 	need       float64 // recent peak of their sum
 	asked      float64 // work of its RPCs taken lately
+	cost       float64 // mean of the hints' core time, 0 without hints
 	needAt     Time
 	errors     int // load errors in a row
 	backoff    Time
@@ -161,6 +164,8 @@
 	at, end, late Time // taken; the client's time is up; an answer earns the late share only
 	calls         []callOut
 	out           int
+	size          float64 // its work over the function's mean, by the hint
+	repeat        bool    // a client's, marked
 	queued, ended bool
 	risk          *worker // worker of the first call-out that may have run
 	riskAt        Time
@@ -368,13 +373,16 @@
 		r.seen += memory
 	}
 	fn.lanes = max(lanes, 1)
-	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget}
+	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1, repeat: repeat}
 	p.gain = p.m.gain
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
 		p.late += p.m.soft
 	}
 	if cost > 0 {
 		p.m.cost += (cost - p.m.cost) / 20
+		fn.cost = cmp.Or(fn.cost, cost)
+		fn.cost += (cost - fn.cost) / 20
+		p.size = hintTrust*cost/fn.cost + 1 - hintTrust
 	}
 	if int(c) < len(r.customers) && !r.customers[c].within(now) {
 		p.gain *= r.set.num("over-share-gain", 1)
@@ -429,7 +437,8 @@
 			best = w
 		}
 	}
-	if best != nil && r.far(best) && r.set.is("functions.orders") && count < fnCap && r.now >= p.fn.loadNext {
+	if best != nil && r.far(best) && r.set.is("functions.orders") && count < fnCap &&
+		r.now >= p.fn.loadNext {
 		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
 			p.order(homes[0])
 		}
@@ -490,13 +499,16 @@
 // before is the design's order of ties among warm instances; active counts others' RPCs as last told, and
 // those that answers slower than elsewhere tell of.
 func (p *RPC) before(w, best *worker) bool {
-	r, in, other := p.r, w.holds[p.fn.id], best.holds[p.fn.id]
-	behind := func(w *worker, in *instance) int {
-		return in.active + int(math.Round(in.others)+math.Round(w.slow/r.slow-1))
-	}
-	c := cmp.Or(behind(w, in)-behind(best, other),
+	in, other := w.holds[p.fn.id], best.holds[p.fn.id]
+	c := cmp.Or(p.behind(w)-p.behind(best),
 		in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse), cmp.Compare(in.since, other.since))
-	return c < 0 || c == 0 && r.rng.Intn(2) == 0
+	return c < 0 || c == 0 && p.r.rng.Intn(2) == 0
+}
+
+// behind is how many RPCs stand before one that goes to the warm instance there, as far as we know.
+func (p *RPC) behind(w *worker) int {
+	in := w.holds[p.fn.id]
+	return in.active + int(math.Round(in.others)+math.Round(w.slow/p.r.slow-1))
 }
 
 // hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
@@ -809,16 +821,16 @@
 			w.holds[fn.id] = in
 		}
 		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold &&
-			float64(took) > fn.work+fn.load/2
-		r.loaded(fn, in, cold, max(float64(took)-fn.work, 0))
+			float64(took) > p.work()+fn.load/2
+		r.loaded(fn, in, cold, max(float64(took)-p.work(), 0))
 		in.executed++
 		weight := max(0.25, 1-fade(r.now-in.toldAt, crowdFade))
 		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
 		in.lastUse, in.toldAt = r.now, r.now
 		if !cold && !r.stoodStill() {
 			heed := min(0.25, max(0.125, 1-fade(r.now-w.timed, slowFade))) // rare answers weigh more
-			w.slow, w.timed = w.slow+(min(float64(took)/fn.work, 10)-w.slow)*heed, r.now
-			fn.work += (min(float64(took), 4*fn.work) - fn.work) / 16
+			w.slow, w.timed = w.slow+(min(float64(took)/p.work(), 10)-w.slow)*heed, r.now
+			fn.work += (min(float64(took)/p.size, 4*fn.work) - fn.work) / 16
 			p.m.work += (min(float64(took), 4*p.m.work) - p.m.work) / 64
 		}
 		if w.ill != "" && w.slow <= slowIll*r.slow && w.errors <= errorsIll {
@@ -1055,10 +1067,10 @@
 func (r *Router) watchSilence() {
 	for _, p := range slices.Clone(r.out) {
 		c := &p.calls[len(p.calls)-1]
-		due := silentWorks*p.fn.work + p.fn.load // a belief may be wrong
+		due := silentWorks*p.work() + p.fn.load // a belief may be wrong
 		if c.cold {
 			due += 2 * p.fn.load
-		} else if !c.done && c.in.toldAt < c.at && float64(r.now-c.at) > silentWorks*p.fn.work {
+		} else if !c.done && c.in.toldAt < c.at && float64(r.now-c.at) > silentWorks*p.work() {
 			c.in.loading = true // inferred: what we believed warm is being loaded, or worse
 		}
 		if c.done || c.retracted || c.w.heard > c.at || float64(r.now-c.at) < due {
@@ -1074,15 +1086,25 @@
 	}
 }
 
-// leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up.
-func (p *RPC) leaveAt() Time { return p.end - max(Time(p.fn.work), 2*beat) }
+// leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up. A client's
+// repeat comes after a try has spent all its time: where that was short, the RPC likely works for longer.
+func (p *RPC) leaveAt() Time {
+	need := p.work()
+	if p.repeat {
+		need *= repeatWorks
+	}
+	return p.end - max(Time(need), 2*beat)
+}
+
+// work is the RPC's usual time on a warm instance.
+func (p *RPC) work() float64 { return p.fn.work * p.size }
 
 // timeToLoad: the client waits for long enough for a load and the RPC's own work.
-func (p *RPC) timeToLoad() bool { return float64(p.end-p.r.now) >= p.fn.load+p.fn.work }
+func (p *RPC) timeToLoad() bool { return float64(p.end-p.r.now) >= p.fn.load+p.work() }
 
 // worth is what an answer would earn now: past the soft deadline little, beyond the customer's share little.
 func (p *RPC) worth() float64 {
-	if p.r.now+Time(p.fn.work) > p.late {
+	if p.r.now+Time(p.work()) > p.late {
 		return p.gain * p.m.lateShare
 	}
 	return p.gain
