--- a/router/router.go
+++ b/router/router.go
@@ -47,7 +47,7 @@
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
-	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
+	homeShare   = 6        // of a mean worker's work one function's has at most one in so many, by its homes
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers
 	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
