A front end may use up to five times its even share of the fleet while answers are in time

Cause: each client process has a front end of its own and some carry far more than others, yet each had the same share of eight RPCs a worker: two or three out at 209 front ends, so 62% of RPCs were held (11 to 25% in the small). Change: the share grows with warm answers in time and shrinks with late ones or time-outs, from its even part to five times that. Homes again for a third of a mean worker's work (a sixth had slipped in).

--- a/router/router.go
+++ b/router/router.go
@@ -47,9 +47,12 @@
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
-	homeShare   = 6        // of a mean worker's work one function's has at most one in so many, by its homes
+	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
-	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers
+	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
+	easeMost    = 5        // so many times that while they are in time: some front ends carry far more than others
+	easeUp      = 0.02     // up with each warm answer in time; down by easeDown of it with each late one
+	easeDown    = 0.07     // both: one late in five holds it at one, one in twenty at the most
 	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
 	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
 	askHomes    = 2        // homes asked at once
@@ -82,6 +85,7 @@
 	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
 	slow, real      float64            // median slowness of the workers, 1 at least; share of our loads that found no copy
 	asked           float64            // work of RPCs taken lately
+	ease            float64            // how many times our even share of the fleet we may use
 	near, allIll    bool               // loads stay in the zone; health is ignored
 	dirty, beats    bool               // settling is due, with housekeeping
 }
@@ -188,7 +192,7 @@
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
-		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1}
+		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1, ease: easeMost / 2.}
 	r.now = now
 	r.heed(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
@@ -463,7 +467,7 @@
 			well++
 		}
 	}
-	most := max(1, int(fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+	most := max(1, int(r.ease*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
 	for _, p := range r.out {
 		if !p.calls[len(p.calls)-1].in.loading {
 			most--
@@ -472,6 +476,15 @@
 	return most <= 0
 }
 
+// eased learns from a warm answer how much more than our even share of the fleet we may use.
+func (r *Router) eased(inTime bool) {
+	if inTime {
+		r.ease = min(r.ease+easeUp, easeMost)
+	} else {
+		r.ease = max(1, r.ease*(1-easeDown))
+	}
+}
+
 func (r *Router) frontEnds() float64 { return max(1, r.set.num("front-ends", 1)) }
 
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
@@ -828,6 +841,7 @@
 		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
 		in.lastUse, in.toldAt = r.now, r.now
 		if !cold && !r.stoodStill() {
+			r.eased(took <= p.m.soft)
 			heed := min(0.25, max(0.125, 1-fade(r.now-w.timed, slowFade))) // rare answers weigh more
 			w.slow, w.timed = w.slow+(min(float64(took)/p.work(), 10)-w.slow)*heed, r.now
 			fn.work += (min(float64(took)/p.size, 4*fn.work) - fn.work) / 16
@@ -861,6 +875,9 @@
 		w.restart(r.now)
 		w.sicken(r, "broken connections", float64(w.active))
 	case TimedOut, CalledOff, Moot:
+		if !c.cold && !c.retracted && o == TimedOut {
+			r.eased(false)
+		}
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
 			fn.loadNext = max(fn.loadNext, r.now+fn.backoff) // timed-out loads only back off
