--- a/router/router.go
+++ b/router/router.go
@@ -1096,7 +1096,7 @@
 			c.w.sicken(r, "silence", float64(r.now-c.at)/float64(ms))
 		}
 		if r.set.is("may.retract") && !p.ended && p.m.effect != SideEffecting && r.now < p.leaveAt() &&
-			!p.spent() {
+			!p.spent() && r.now+Time(p.work()) < p.late {
 			c.retracted = true
 			r.port.Retract(p.id, len(p.calls)-1)
 		}
