Late RPCs go out within half an even share; repeats without a mark are known by their time

Change: an RPC past its soft deadline goes out only within half our even share; a time shorter than a method's longest tells how much of the deadline is gone, or of our own standing still.

--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,7 @@
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
 	easeMost    = 5        // so many times that while they are in time: some front ends carry far more than others
 	easeUp      = 0.02     // up with each warm answer in time; down by easeDown of it with each late one
+	lateEase    = 0.5      // of our even share, for an RPC that would be answered late: it must not make others late
 	easeDown    = 0.07     // both: one late in five holds it at one, one in twenty at the most
 	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
 	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
@@ -93,6 +94,7 @@
 type method struct {
 	gain, lateShare float64
 	soft, window    Time
+	deadline, most  Time // of all tries of a client; the longest budget seen of one
 	effect, group   string
 	work, cost      float64 // mean time on a warm instance; mean of the hints' core time, 0 without hints
 }
@@ -214,7 +216,7 @@
 	for i := range int(s.num("methods", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		p.methods = append(p.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
-			soft:   s.span(at+"soft-deadline", sec),
+			soft: s.span(at+"soft-deadline", sec), deadline: s.span(at+"deadline", 0),
 			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
 			work: float64(priorWork)})
 	}
@@ -379,8 +381,14 @@
 	fn.lanes = max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1, repeat: repeat}
 	p.gain = p.m.gain
+	p.m.most = max(p.m.most, budget)
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
 		p.late += p.m.soft
+		if r.stoodStill() { // it has waited for us
+			p.late -= p.m.most - budget
+		} else if budget > p.m.soft && budget < p.m.most-beat { // cut to what is left of the deadline: an unmarked repeat
+			p.late -= max(0, p.m.deadline-budget)
+		}
 	}
 	if cost > 0 {
 		p.m.cost += (cost - p.m.cost) / 20
@@ -414,7 +422,7 @@
 // place is the ordinary path: a warm instance with room, else a load. It tells whether the RPC went out.
 func (p *RPC) place() bool {
 	r := p.r
-	if p.spent() || r.flooded() {
+	if p.spent() || p.flooded() {
 		return false
 	}
 	var best, joining *worker
@@ -460,14 +468,18 @@
 
 // flooded guards workers against many front ends that each send little: our RPCs out, loads waited for aside,
 // have reached our share of fleetBusy for each worker that takes any.
-func (r *Router) flooded() bool {
-	well, all := 0.0, r.frontEnds()
+func (p *RPC) flooded() bool {
+	r := p.r
+	well, all, ease := 0.0, r.frontEnds(), r.ease
+	if p.worth() < p.gain {
+		ease = lateEase
+	}
 	for _, w := range r.list {
 		if w.state == Ready && (w.ill == "" || r.allIll) {
 			well++
 		}
 	}
-	most := max(1, int(r.ease*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+	most := max(1, int(ease*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
 	for _, p := range r.out {
 		if !p.calls[len(p.calls)-1].in.loading {
 			most--
