A further copy where the best warm one is three RPCs behind; come-back advice only where given

Change: where a warm instance is three RPCs behind, a copy is ordered at the next home, within the ration; may.advise from the wire's retryAfter and from the program's call-outs advise="yes" (default), also for the gate's own denials.

--- a/internal/pebble/settings.go
+++ b/internal/pebble/settings.go
@@ -13,7 +13,7 @@
 var words = map[string]string{
 	"balancers": terms.FrontEnds, "myNumber": terms.Me, "zone": terms.Zone, "tickNs": terms.Tick,
 	"ceilings": terms.May, "cancel": terms.Retract, "connectTimeoutNs": terms.ConnectTimeOut, "mayProbe": terms.Check,
-	"mostTries": terms.CallOuts, "maxRetryAfterNs": terms.ComeBack,
+	"mostTries": terms.CallOuts, "maxRetryAfterNs": terms.ComeBack, "retryAfter": terms.Advise,
 	"secondCopies": terms.Overlap, "maxOpen": terms.Open, "peers": terms.Tell,
 	"costs": terms.Price, "crossZone": terms.CrossZone, "lateFail": terms.Late, "origin": terms.Fetch, "probe": terms.Check,
 	"waste":     terms.Waste,
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -219,10 +219,13 @@
 
 // Gate are the figures of the front end's gate.
 func (f *FrontEnd) Gate() limits.Settings {
-	c := &f.Clients
+	c, back := &f.Clients, f.Service.CallOuts.ComeBack
+	if !f.Service.CallOuts.Advise {
+		back = 0
+	}
 	return limits.Settings{Whole: limits.Bound{RPCs: c.Whole, Bytes: c.WholeBytes},
 		Peer: limits.Bound{RPCs: c.Peer, Bytes: c.PeerBytes}, Conn: limits.Bound{RPCs: c.Open, Bytes: c.OpenBytes},
-		Held: c.Held, ComeBack: f.Service.CallOuts.ComeBack}
+		Held: c.Held, ComeBack: back}
 }
 
 // CustomerNames are the customers' by place, empty where one is gone.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,7 @@
 	Check          bool        `a:"check" def:"yes"`
 	ConnectTimeOut router.Time `a:"connect-time-out-ms" def:"250" min:"1" max:"60000"`
 	ComeBack       router.Time `a:"come-back-ms" def:"500" min:"0" max:"600000"`
+	Advise         bool        `a:"advise" def:"yes"`
 	OverShareGain  float64     `a:"over-share-gain" def:"1" min:"0" max:"1"`
 }
 
@@ -508,6 +509,7 @@
 		terms.Path(terms.May, terms.Check):          c.Check,
 		terms.Path(terms.May, terms.ConnectTimeOut): float64(c.ConnectTimeOut),
 		terms.Path(terms.May, terms.ComeBack):       float64(c.ComeBack),
+		terms.Path(terms.May, terms.Advise):         c.Advise,
 
 		terms.Path(terms.Price, terms.CrossZone): s.Price.CrossZone,
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -20,6 +20,7 @@
 	Check          = "check"
 	CallOuts       = "call-outs"
 	ComeBack       = "come-back"
+	Advise         = "advise"
 	Overlap        = "overlap"
 	Open           = "open"
 	Tell           = "tell"
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,7 @@
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
 	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
+	farBehind   = 3        // RPCs behind which a warm instance is left for a further copy
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
 	easeMost    = 5        // so many times that while they are in time: some front ends carry far more than others
@@ -449,7 +450,8 @@
 			best = w
 		}
 	}
-	if best != nil && r.far(best) && r.set.is("functions.orders") && count < fnCap &&
+	// Exceptions: from a far instance, or one with others waiting, a copy is ordered where ours should stand.
+	if best != nil && (r.far(best) || p.behind(best) >= farBehind) && r.set.is("functions.orders") && count < fnCap &&
 		r.now >= p.fn.loadNext {
 		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
 			p.order(homes[0])
@@ -785,7 +787,11 @@
 		p.r.port.Abort(p.id)
 		return
 	}
-	p.r.port.Deny(p.id, p.r.set.span("may.come-back", 0))
+	comeBack := p.r.set.span("may.come-back", 0)
+	if p.r.set["may.advise"] == false {
+		comeBack = 0 // clients are not given it; their own back-off is all there is
+	}
+	p.r.port.Deny(p.id, comeBack)
 }
 
 // Left tells that the client is gone: no answer is owed.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -147,8 +147,8 @@
 		s.router.Renew(s.now, Prepare(maps.Clone(s.set)))
 	case "set":
 		switch v, err := strconv.ParseFloat(f[2], 64); {
-		case f[2] == "yes":
-			s.set[f[1]] = true
+		case f[2] == "yes" || f[2] == "no":
+			s.set[f[1]] = f[2] == "yes"
 		case err == nil:
 			s.set[f[1]] = v
 		default:
