The move by configuration: how many front ends share the workers, advice, and what is kept

Need: the real front end is to be ready for the move; what an instance learned is kept where it still means the same.

--- a/internal/day/config.go
+++ b/internal/day/config.go
@@ -43,3 +43,13 @@
 	text, err := settings.Text("service", next)
 	return "<configuration>\n" + text + more + "</configuration>\n", err
 }
+
+// Move is the day's service in another shape: four times the front ends, as if each client process had its own, no
+// checks, and no word to clients of when to come back.
+func Move(s *settings.Scenario) (string, error) {
+	next := s.Service
+	next.FrontEnds = 4 * s.Fleet.FrontEnds
+	next.CallOuts.Check, next.CallOuts.Advise = false, false
+	text, err := settings.Text("service", next)
+	return "<configuration>\n" + text + "</configuration>\n", err
+}
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+// The first seconds after the move to another shape are no worse than those before it, and no rule breaks.
+func TestMove(t *testing.T) {
+	s := read(t, "../../examples/move.xml")
+	r := run(t, s)
+	for _, b := range r.Audit.Breaks {
+		t.Errorf("rule %d, %s: %s", b.Rule, b.RPC, b.Text)
+	}
+	at := float64(s.Troubles[0].At) / 10
+	inTime := func(from, to float64) float64 {
+		got, asked := 0.0, 0.0
+		for _, p := range r.RPCs {
+			if p.DueMs >= from && p.DueMs < to {
+				if asked++; p.Outcome == "ok" && p.TookMs <= 800 {
+					got++
+				}
+			}
+		}
+		return got / asked
+	}
+	before, after := inTime(at-3000, at), inTime(at, at+3000)
+	if !(before > 0.9 && after > before-0.1) {
+		t.Errorf("%.3f in time in the 3 s before the move, %.3f in the 3 s after", before, after)
+	}
+}
+
 // What can't be played is said before anything is.
 func TestNotPlayable(t *testing.T) {
 	s := read(t, "testdata/short.xml")
--- a/internal/emulate/trouble.go
+++ b/internal/emulate/trouble.go
@@ -126,6 +126,8 @@
 			text, err := day.Configuration(w.s, "/run", n, bad, rng)
 			w.after(router.Time(n+1)*every, func() { w.configure(text, err) })
 		}
+	case "config-move":
+		w.configure(day.Move(w.s))
 	case "crash":
 		w.crash(w.part(t.Part, rng), t.For)
 	case "ageing":
--- a/internal/rehearse/config.go
+++ b/internal/rehearse/config.go
@@ -45,19 +45,38 @@
 		if err != nil {
 			return err
 		}
-		// one after the other: a service that is slow takes fewer
-		v, err := c.Submit(ctx, &wire.SubmitRequest{Text: text, By: "rehearsal", Unchecked: true})
-		m.configs.mu.Lock()
-		if m.configs.submitted++; err != nil {
-			m.configs.failed++
-		} else {
-			if m.configs.bad == nil {
-				m.configs.bad = map[uint64]bool{}
-			}
-			m.configs.bad[v] = bad
-		}
-		m.configs.mu.Unlock()
+		m.submit(ctx, c, text, bad) // one after the other: a service that is slow takes fewer
+	}
+	return nil
+}
+
+// submit hands one configuration in and notes what became of it.
+func (m *maker) submit(ctx context.Context, c *control.Client, text string, bad bool) {
+	v, err := c.Submit(ctx, &wire.SubmitRequest{Text: text, By: "rehearsal", Unchecked: true})
+	m.configs.mu.Lock()
+	defer m.configs.mu.Unlock()
+	if m.configs.submitted++; err != nil {
+		m.configs.failed++
+		return
+	}
+	if m.configs.bad == nil {
+		m.configs.bad = map[uint64]bool{}
+	}
+	m.configs.bad[v] = bad
+}
+
+// move submits the day's service in another shape.
+func (m *maker) move(ctx context.Context) error {
+	c, err := control.Dial(m.f.controlSockets())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	text, err := day.Move(m.f.s)
+	if err != nil {
+		return err
 	}
+	m.submit(ctx, c, text, false)
 	return nil
 }
 
--- a/internal/rehearse/trouble.go
+++ b/internal/rehearse/trouble.go
@@ -152,6 +152,8 @@
 		return nil
 	case "config", "config-flood":
 		return m.configure(ctx, t, rng)
+	case "config-move":
+		return m.move(ctx)
 	case "control-kill":
 		return m.killControl(ctx, rng.Intn(m.f.s.Fleet.Control.Instances), span)
 	case "control-silence": // all stand still, as behind a cut
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -147,7 +147,7 @@
 // Trouble is something that goes wrong at a time.
 type Trouble struct {
 	Pos
-	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close config config-flood control-kill control-silence slow-function answers-lost cut-to-workers cut-from-workers clock-step"`
+	Kind string      `a:"kind" need:"yes" words:"burst crash hang slow fast-errors load-fails report-late deploy flush scan zone-loss front-end-kill front-end-roll front-end-stall ageing preempt half-frame close config config-flood config-move control-kill control-silence slow-function answers-lost cut-to-workers cut-from-workers clock-step"`
 	At   router.Time `a:"at-ms" need:"yes" min:"0" max:"3600000"`
 	For  router.Time `a:"for-ms" def:"1000" min:"1" max:"3600000"`
 	Part float64     `a:"part" def:"0.15" min:"0" max:"1"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 // Service is what all front ends of a service agree on.
 type Service struct {
 	Pos
+	FrontEnds int        `a:"front-ends" def:"0" min:"0" max:"65536"` // that share the workers; 0: as a front end's file says
 	Methods   []Method   `e:"method" need:"yes"`
 	Customers []Customer `e:"customer"`
 	Zones     []Named    `e:"zone"`
@@ -351,8 +352,8 @@
 func named(n Named) (string, Pos) { return n.Name, n.Pos }
 
 func (f *FrontEnd) check() error {
-	if f.Number >= f.Of {
-		return f.Errorf("number %d of %d front ends: numbers begin at 0", f.Number, f.Of)
+	if f.Number >= f.Sharing() {
+		return f.Errorf("number %d of %d front ends: numbers begin at 0", f.Number, f.Sharing())
 	}
 	if f.Workers.RedialMax < f.Workers.RedialMin {
 		return f.Workers.Errorf("redial-max-ms is below redial-min-ms")
@@ -493,11 +494,14 @@
 // ReportValues are the figures of a worker's load report, in their order on the wire.
 var ReportValues = []string{terms.Util, terms.Pinned, terms.InHand, terms.Loads}
 
+// Sharing is how many front ends share the workers: what the service tells, else what the front end's own file does.
+func (f *FrontEnd) Sharing() int { return cmp.Or(f.Service.FrontEnds, f.Of) }
+
 // Module is the map that the module takes; see terms.
 func (f *FrontEnd) Module() router.Settings {
 	s, c, r, fn := &f.Service, &f.Service.CallOuts, &f.Service.Rules, &f.Service.Functions
 	out := router.Settings{
-		terms.FrontEnds: float64(f.Of),
+		terms.FrontEnds: float64(f.Sharing()),
 		terms.Me:        float64(f.Number),
 		terms.Zone:      float64(s.ZoneID(f.Zone)),
 		terms.List:      terms.Pushed,
--- a/router/router.go
+++ b/router/router.go
@@ -233,7 +233,7 @@
 	r.set, r.zone = p.set, ZoneID(p.set.num("zone", 0))
 	for i, was := range r.methods {
 		m := p.methods[i]
-		m.work, m.cost = was.work, was.cost
+		m.work, m.cost, m.most = was.work, was.cost, was.most
 		was.effect, was.group, was.window = Stricter(was.effect, was.group, was.window, m.effect, m.group, m.window)
 	}
 	r.methods = p.methods
@@ -264,8 +264,9 @@
 	s := p.set
 	r.now, r.dirty = now, true
 	orders, fall := r.set.span("functions.load-window", 0), r.set.span("rules.fall", sec)
-	warm := slices.DeleteFunc(slices.Clone(r.list), r.cold)
+	warm, all := slices.DeleteFunc(slices.Clone(r.list), r.cold), r.frontEnds()
 	r.heed(p)
+	r.moved(all)
 	if s.span("functions.load-window", 0) > orders {
 		for range int(s.num("functions.load-free", 0)) {
 			r.orders = append(r.orders, now)
@@ -278,6 +279,32 @@
 	}
 }
 
+// moved starts afresh what means something else now: our part of the fleet, after a change of the number of front
+// ends, and what is no longer told. What warm workers do for us only shrinks with it: rule four rests on that.
+func (r *Router) moved(before float64) {
+	part := before / r.frontEnds()
+	if part != 1 {
+		r.room, r.room0, r.tokens, r.ease = r.room*part, r.room0*part, min(r.tokens, 1), easeMost/2.
+		for kind := range r.could {
+			r.could[kind] *= min(part, 1)
+		}
+	}
+	for _, w := range r.list {
+		w.served *= min(part, 1)
+		if r.set.num("report.values.util", -1) < 0 {
+			w.util = 0
+		}
+		if r.set.num("report.values.pinned", -1) < 0 {
+			w.pinned = 0
+		}
+		for _, in := range w.holds {
+			if r.set["functions.tells-crowd"] == false {
+				in.others = 0
+			}
+		}
+	}
+}
+
 // ListBegins, Listed and ListEnds bring the list of workers, or its changes.
 func (r *Router) ListBegins(now Time, form ListForm, _ uint64) {
 	r.now, r.dirty = now, true
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -19,7 +19,7 @@
 //	pause MS                  nothing comes for so long; the next step is in the batch of the timers then due
 //	at T                      time goes on to T ms; the module's timers come as they fall due
 //	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [repeat=1] [times=N]
-//	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [closed]
+//	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [util=N] [closed]
 //	left RPC                  the client has gone
 //	held W F OUTCOME COPIES   an order's answer
 //	checked W OUTCOME         a check's answer
@@ -184,8 +184,12 @@
 		}
 	case "end":
 		closed := f[len(f)-1] == "closed" || f[3] == "ok"
+		var report []float64
+		if options["util"] != "" {
+			report = []float64{get("util", 0)}
+		}
 		s.rpcs[f[1]].Ended(s.now, int(number(s.t, f[2])), 0, outcomeWords[f[3]], closed,
-			warmthWords[options["warm"]], int(get("crowd", 0)), span("took", 50), nil)
+			warmthWords[options["warm"]], int(get("crowd", 0)), span("took", 50), report)
 	case "left":
 		s.rpcs[f[1]].Left(s.now)
 	case "held":
