How many front ends share the workers is a part of its own, so the control service takes it

Cause: a rehearsal of the move on sockets showed that a configuration's service holds no attributes ("unknown attribute front-ends"), so the version was turned down. Change: <shared front-ends="N"/> in the service.

--- a/internal/day/config.go
+++ b/internal/day/config.go
@@ -48,7 +48,7 @@
 // checks, and no word to clients of when to come back.
 func Move(s *settings.Scenario) (string, error) {
 	next := s.Service
-	next.FrontEnds = 4 * s.Fleet.FrontEnds
+	next.Shared.FrontEnds = 4 * s.Fleet.FrontEnds
 	next.CallOuts.Check, next.CallOuts.Advise = false, false
 	text, err := settings.Text("service", next)
 	return "<configuration>\n" + text + "</configuration>\n", err
--- a/internal/settings/configuration.go
+++ b/internal/settings/configuration.go
@@ -275,7 +275,7 @@
 
 // partOrder is the order of the parts' types in a configuration's text, which the schema asks for.
 var partOrder = []string{"service/method", "service/customer", "service/zone", "service/cell", "service/kind",
-	"service/functions", "service/call-outs", "service/rules", "service/price", "limits", "group", "source", "listener", "model"}
+	"service/functions", "service/call-outs", "service/rules", "service/price", "service/shared", "limits", "group", "source", "listener", "model"}
 
 // Parts splits a configuration's text, which must be well-formed; its names and figures need not be good. They come in
 // the order of Text.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,7 +19,6 @@
 // Service is what all front ends of a service agree on.
 type Service struct {
 	Pos
-	FrontEnds int        `a:"front-ends" def:"0" min:"0" max:"65536"` // that share the workers; 0: as a front end's file says
 	Methods   []Method   `e:"method" need:"yes"`
 	Customers []Customer `e:"customer"`
 	Zones     []Named    `e:"zone"`
@@ -29,6 +28,7 @@
 	CallOuts  CallOuts   `e:"call-outs"`
 	Rules     Rules      `e:"rules"`
 	Price     Price      `e:"price"`
+	Shared    Shared     `e:"shared"`
 }
 
 // Method is a kind of RPC.
@@ -123,6 +123,12 @@
 	CrossZone float64 `a:"cross-zone" def:"0" min:"0" max:"1"`
 }
 
+// Shared tells who shares the workers.
+type Shared struct {
+	Pos
+	FrontEnds int `a:"front-ends" def:"0" min:"0" max:"65536"` // 0: as each front end's own file says
+}
+
 // FrontEnd is a front end's document.
 type FrontEnd struct {
 	Pos
@@ -495,7 +501,7 @@
 var ReportValues = []string{terms.Util, terms.Pinned, terms.InHand, terms.Loads}
 
 // Sharing is how many front ends share the workers: what the service tells, else what the front end's own file does.
-func (f *FrontEnd) Sharing() int { return cmp.Or(f.Service.FrontEnds, f.Of) }
+func (f *FrontEnd) Sharing() int { return cmp.Or(f.Service.Shared.FrontEnds, f.Of) }
 
 // Module is the map that the module takes; see terms.
 func (f *FrontEnd) Module() router.Settings {
