Every load is an order where orders are allowed; the RPC takes whichever copy is free first

Only a busy function's load was ordered. Change: the first load of a function is ordered, too, within the ration; beyond it the RPC rides as before.

--- a/router/router.go
+++ b/router/router.go
@@ -573,8 +573,8 @@
 // crowd is what is left of the last news of other front ends' RPCs there.
 func (in *instance) crowd(now Time) float64 { return in.others * fade(now-in.toldAt, crowdFade) }
 
-// load starts a load under the caps. Where an instance stands busy and orders are allowed, it is ordered and
-// the RPC waits for whichever comes first; else the RPC goes to the loading worker at once.
+// load starts a load under the caps. Where orders are allowed and the ration has room it is ordered, and the RPC
+// waits for whichever copy is free first; else the RPC goes to the loading worker at once.
 func (p *RPC) load(count int) bool {
 	r, fn := p.r, p.fn
 	need := max(fn.recent(r.now), float64(fn.out+1))
@@ -607,7 +607,7 @@
 	if fn.errors >= loadErrors {
 		fn.loadNext = r.now + fn.backoff // one trial load
 	}
-	if count > 0 && r.set.is("functions.orders") && r.mayOrder() {
+	if r.set.is("functions.orders") && r.mayOrder() {
 		p.order(homes[0])
 		return false
 	}
