--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,7 @@
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
 	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
+	orderLost   = 2        // usual times of a load after which an order's copy is waited for no longer
 	farBehind   = 3        // RPCs behind which a warm instance is left for a further copy
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
@@ -462,7 +463,8 @@
 		}
 		asking = asking || in.asked
 		count += in.copies
-		if in.asked || !in.hasRoom(p.fn, r.now) {
+		lost := in.ordered && float64(r.now-in.since) > orderLost*p.fn.load // a worker that hangs answers no order
+		if in.asked || lost || !in.hasRoom(p.fn, r.now) {
 			continue
 		}
 		if roomy = true; !r.open(w) {
