--- a/router/router.go
+++ b/router/router.go
@@ -48,7 +48,7 @@
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
 	crowdFade   = sec      // in this time the news of others' RPCs at an instance falls to a third
 	homeShare   = 3        // of a mean worker's work one function's has at most one in so many, by its homes
-	orderLost   = 2        // usual times of a load after which an order's copy is waited for no longer
+	loadLost    = 2        // usual times of a load after which its copy is waited for no longer
 	farBehind   = 3        // RPCs behind which a warm instance is left for a further copy
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
@@ -370,7 +370,9 @@
 				keep = askWait
 			}
 			if in.loading {
-				r.pending++
+				if !in.lost(r.fns[id], r.now) {
+					r.pending++
+				}
 			} else if in.active == 0 && r.now-in.lastUse >= keep {
 				delete(w.holds, id)
 				continue
@@ -463,8 +465,7 @@
 		}
 		asking = asking || in.asked
 		count += in.copies
-		lost := in.ordered && float64(r.now-in.since) > orderLost*p.fn.load // a worker that hangs answers no order
-		if in.asked || lost || !in.hasRoom(p.fn, r.now) {
+		if in.asked || in.lost(p.fn, r.now) || !in.hasRoom(p.fn, r.now) {
 			continue
 		}
 		if roomy = true; !r.open(w) {
@@ -512,7 +513,7 @@
 	}
 	most := max(1, int(ease*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
 	for _, p := range r.out {
-		if !p.calls[len(p.calls)-1].in.loading {
+		if c := &p.calls[len(p.calls)-1]; !c.in.loading && (c.w.ill == "" || r.allIll) {
 			most--
 		}
 	}
@@ -567,6 +568,11 @@
 	return in.active + int(math.Round(in.others)+math.Round(w.slow/p.r.slow-1))
 }
 
+// lost: a worker that hangs answers no order; it neither keeps RPCs waiting nor takes the place of other loads.
+func (in *instance) lost(fn *function, now Time) bool {
+	return in.ordered && float64(now-in.since) > loadLost*fn.load
+}
+
 // hasRoom: own RPCs there, and what answers tell of other front ends', leave a lane free.
 func (in *instance) hasRoom(fn *function, now Time) bool {
 	return float64(in.active)+math.Round(in.crowd(now)) < float64(in.copies*fn.lanes)
