--- a/router/router.go
+++ b/router/router.go
@@ -42,7 +42,7 @@
 	askedFade   = 20 * sec // time over which the work asked for is averaged, for a function's share of it
 	shareBefore = 0.05     // share of the work of a function seen for the first time: such are often popular
 	shareWeight = 20       // RPCs that this guess weighs as much as
-	hintTrust   = 0.5      // part of a hint's deviation from its function's mean that is believed: hints are rough
+	hintTrust   = 0.5      // part of a hint's deviation from its function's mean that is believed
 	repeatWorks = 3        // a client's repeat is worth sending with so many usual times left
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
 	coldFew     = 3        // front ends that may send a cold worker one RPC a window, whatever they know
@@ -51,10 +51,10 @@
 	loadLost    = 2        // usual times of a load after which its copy is waited for no longer
 	farBehind   = 3        // RPCs behind which a warm instance is left for a further copy
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
-	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean of the workers, when answers are late
-	easeMost    = 5        // so many times that while they are in time: some front ends carry far more than others
+	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean, while answers are late
+	easeMost    = 5        // so many times that while they are in time: some front ends carry more
 	easeUp      = 0.02     // up with each warm answer in time; down by easeDown of it with each late one
-	lateEase    = 0.5      // of our even share, for an RPC that would be answered late: it must not make others late
+	lateEase    = 0.5      // of our even share, for an RPC that is late: it must not make others late
 	easeDown    = 0.07     // both: one late in five holds it at one, one in twenty at the most
 	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
 	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
@@ -86,7 +86,7 @@
 	room0, tokens   float64 // our share of two loads a worker; loads that may begin now
 	tokensAt        Time
 	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
-	slow, real      float64            // median slowness of the workers, 1 at least; share of our loads that found no copy
+	slow, real      float64            // workers' median slowness, 1 at least; share of our loads that found no copy
 	asked           float64            // work of RPCs taken lately
 	ease            float64            // how many times our even share of the fleet we may use
 	near, allIll    bool               // loads stay in the zone; health is ignored
@@ -196,8 +196,8 @@
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
-		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1, ease: easeMost / 2.}
-	r.now = now
+		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1,
+		ease: easeMost / 2.}
 	r.heed(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
 		port.Listen()
@@ -280,8 +280,8 @@
 	}
 }
 
-// moved starts afresh what means something else now: our part of the fleet, after a change of the number of front
-// ends, and what is no longer told. What warm workers do for us only shrinks with it: rule four rests on that.
+// moved starts afresh what means something else now: our part of the fleet, where the number of front ends has
+// changed, and what is told no more. What warm workers do for us only shrinks: rule four rests on that.
 func (r *Router) moved(before float64) {
 	part := before / r.frontEnds()
 	if part != 1 {
@@ -410,14 +410,14 @@
 		r.seen += memory
 	}
 	fn.lanes = max(lanes, 1)
-	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1, repeat: repeat}
-	p.gain = p.m.gain
+	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1}
+	p.gain, p.repeat = p.m.gain, repeat
 	p.m.most = max(p.m.most, budget)
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
 		p.late += p.m.soft
 		if r.stoodStill() { // it has waited for us
 			p.late -= p.m.most - budget
-		} else if budget > p.m.soft && budget < p.m.most-beat { // cut to what is left of the deadline: an unmarked repeat
+		} else if budget > p.m.soft && budget < p.m.most-beat { // cut by the deadline: an unmarked repeat
 			p.late -= max(0, p.m.deadline-budget)
 		}
 	}
@@ -481,8 +481,8 @@
 		}
 	}
 	// Exceptions: from a far instance, or one with others waiting, a copy is ordered where ours should stand.
-	if best != nil && (r.far(best) || p.behind(best) >= farBehind) && r.set.is("functions.orders") && count < fnCap &&
-		r.now >= p.fn.loadNext {
+	if best != nil && (r.far(best) || p.behind(best) >= farBehind) && r.set.is("functions.orders") &&
+		count < fnCap && r.now >= p.fn.loadNext {
 		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.mayOrder() {
 			p.order(homes[0])
 		}
@@ -568,7 +568,7 @@
 	return in.active + int(math.Round(in.others)+math.Round(w.slow/p.r.slow-1))
 }
 
-// lost: a worker that hangs answers no order; it neither keeps RPCs waiting nor takes the place of other loads.
+// lost: a worker that hangs answers no order; it keeps no RPC waiting and takes no other load's place.
 func (in *instance) lost(fn *function, now Time) bool {
 	return in.ordered && float64(now-in.since) > loadLost*fn.load
 }
@@ -581,8 +581,8 @@
 // crowd is what is left of the last news of other front ends' RPCs there.
 func (in *instance) crowd(now Time) float64 { return in.others * fade(now-in.toldAt, crowdFade) }
 
-// load starts a load under the caps. Where orders are allowed and the ration has room it is ordered, and the RPC
-// waits for whichever copy is free first; else the RPC goes to the loading worker at once.
+// load starts a load under the caps. Where orders are allowed and the ration has room it is ordered, and the
+// RPC waits for whichever copy is free first; else the RPC goes to the loading worker at once.
 func (p *RPC) load(count int) bool {
 	r, fn := p.r, p.fn
 	need := max(fn.recent(r.now), float64(fn.out+1))
