--- a/router/router.go
+++ b/router/router.go
@@ -86,7 +86,7 @@
 	room0, tokens   float64 // our share of two loads a worker; loads that may begin now
 	tokensAt        Time
 	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
-	slow, real      float64            // workers' median slowness, 1 at least; share of our loads that found no copy
+	slow, real      float64            // workers' median slowness, 1 or more; part of loads that found no copy
 	asked           float64            // work of RPCs taken lately
 	ease            float64            // how many times our even share of the fleet we may use
 	near, allIll    bool               // loads stay in the zone; health is ignored
@@ -280,7 +280,7 @@
 	}
 }
 
-// moved starts afresh what means something else now: our part of the fleet, where the number of front ends has
+// moved starts afresh what means something else now: our part of the fleet, where the count of front ends has
 // changed, and what is told no more. What warm workers do for us only shrinks: rule four rests on that.
 func (r *Router) moved(before float64) {
 	part := before / r.frontEnds()
