Read-over: two tuned values in their order, a check lifted out of a loop

The note on easeDown stood under lateEase's line; whether answers tell the crowd is asked once a worker, not once a copy.

--- a/router/router.go
+++ b/router/router.go
@@ -54,8 +54,8 @@
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean, while answers are late
 	easeMost    = 5        // so many times that while they are in time: some front ends carry more
 	easeUp      = 0.02     // up with each warm answer in time; down by easeDown of it with each late one
-	lateEase    = 0.5      // of our even share, for an RPC that is late: it must not make others late
 	easeDown    = 0.07     // both: one late in five holds it at one, one in twenty at the most
+	lateEase    = 0.5      // of our even share, for an RPC that is late: it must not make others late
 	slowFade    = 4 * sec  // in this time a worker's slowness falls to a third, where answers are rare
 	needFade    = 3 * sec  // in this time a function's peak of RPCs falls to a third
 	askHomes    = 2        // homes asked at once
@@ -298,8 +298,8 @@
 		if r.set.num("report.values.pinned", -1) < 0 {
 			w.pinned = 0
 		}
-		for _, in := range w.holds {
-			if r.set["functions.tells-crowd"] == false {
+		if r.set["functions.tells-crowd"] == false {
+			for _, in := range w.holds {
 				in.others = 0
 			}
 		}
