--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -21,6 +21,7 @@
 	"mallowlanding/internal/gateway"
 	"mallowlanding/internal/jsonrpc"
 	"mallowlanding/internal/measure"
+	"mallowlanding/internal/platform"
 	"mallowlanding/internal/rehearse"
 	"mallowlanding/internal/settings"
 	"mallowlanding/internal/standin"
@@ -37,6 +38,7 @@
 	LogForm  string `enum:"text,json" default:"text" help:"Form of the log, which goes to standard error: ${enum}."`
 
 	Serve      serveCmd      `cmd:"" help:"Run a front end until SIGTERM or SIGINT; it then answers what it holds and leaves."`
+	Platform   platformCmd   `cmd:"" help:"Run a front end as the operators' platform starts it: BALANCER_CONFIG names its configuration."`
 	Worker     workerCmd     `cmd:"" help:"Run a stand-in worker."`
 	Roster     rosterCmd     `cmd:"" help:"Run a stand-in roster, with a stand-in store where its settings have one."`
 	Check      checkCmd      `cmd:"" help:"Check settings files and tell what is wrong with them."`
@@ -125,6 +127,19 @@
 	return gateway.Serve(e.ctx, f, e.log, nil)
 }
 
+type platformCmd struct{}
+
+// Run runs a front end on the platform.
+func (c *platformCmd) Run(e *env) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	err := platform.Serve(e.ctx, os.Getenv("BALANCER_CONFIG"), reload, e.log)
+	if errors.As(err, &platform.BadConfig{}) {
+		return misuse{err}
+	}
+	return err
+}
+
 type workerCmd struct {
 	Settings string        `arg:"" help:"The worker's settings."`
 	Drain    time.Duration `default:"500ms" help:"How long it goes on after SIGTERM, drained, for front ends that hear late."`
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,6 +83,7 @@
 	Function string
 	Fn       Function
 	Token    string
+	Ticket   string // the client's own id; empty: it has none
 	Customer string
 	Soft     router.Time // when its soft deadline is over
 	Payload  []byte      // JSON
@@ -476,7 +477,11 @@
 		})
 	default:
 		e.counts.CallOuts++
-		wk.link.Send(id, p, p.end-e.now)
+		left := p.end - e.now
+		if limit > 0 { // the link gives up by itself then
+			left = min(left, limit)
+		}
+		wk.link.Send(id, p, left)
 		if limit > 0 && e.now+limit < p.end {
 			e.timers.Set(new(turn.Timer), e.now+limit, func(router.Time) {
 				e.Answered(id, w, router.TimedOut, router.Untold, 0, nil, nil, nil)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,6 +34,7 @@
 	Margin    router.Time // kept of each RPC's time for the answer's way to the client
 	Gate      limits.Settings
 	Wrap      func(engine.Client) engine.Client // nil: answers go as they are
+	Apart     bool                              // RPCs of one token never join: each answer is one that a worker made for that very RPC
 }
 
 // Params are what an RPC asks for.
@@ -46,6 +47,8 @@
 	Payload  []byte  // JSON
 	Blob     []byte  // bytes beside it
 	Repeat   bool
+	Ticket   string           // the client's own id of the RPC, which its call-outs carry on; empty: it has none
+	Copy     *engine.Function // what a copy of the function needs, where the RPC itself tells; nil: the settings do
 }
 
 // Desk is a front end's, for all of its protocols. It belongs to the loop's goroutine.
@@ -268,7 +271,7 @@
 	}
 	method := d.MethodAt(a.p.Method)
 	w := &work{d: d, lead: a}
-	if method.Effect == router.Tokened {
+	if method.Effect == router.Tokened && !d.o.Apart {
 		key := repeats.Key{Method: method.Name, Customer: a.p.Customer, Token: a.p.Token}
 		group, decision := d.repeats.Come(key, a.p.Function, a, a.p.Payload, a.p.Blob)
 		switch decision {
@@ -296,9 +299,14 @@
 		client = d.o.Wrap(w)
 	}
 	a.work = w
+	fn := a.p.Copy
+	if fn == nil {
+		told := d.service.Load().function(a.p.Method, a.p.Function)
+		fn = &told
+	}
 	w.rpc = d.engine.Take(router.MethodID(a.p.Method), method, router.CustomerID(d.service.Load().customers[a.p.Customer]),
-		a.p.Function, d.service.Load().function(a.p.Method, a.p.Function), a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob,
-		client)
+		a.p.Function, *fn, a.p.Token, a.until-d.now, a.p.Repeat, a.p.Payload, a.p.Blob, client)
+	w.rpc.Ticket = a.p.Ticket // what is sent is sent at the turn's end
 }
 
 // Cancel tells that the client wants no result any more, but its one answer.
--- /dev/null
+++ b/internal/httplink/httplink.go
@@ -0,0 +1,437 @@
+// Package httplink is a front end's side towards workers that speak HTTP/1.1, one message at a time on a connection.
+// Connections belong to a worker's id, never to its address: a new worker may have that of one that is gone.
+//
+// A link tells the engine how each call-out and order ended, and whether that proves that it never ran: what did not
+// leave whole never arrived whole. It sends nothing twice, but for what did not leave on a connection used before.
+package httplink
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/hop"
+	"mallowlanding/internal/site"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+const (
+	path     = "/v2/q/"
+	bodyMost = 64 << 10             // of an answer; the protocol's bodies have 16 KiB
+	rest     = 5 * time.Millisecond // a used connection rests: what came behind its answer must not meet the next one
+	look     = time.Second          // how often idle connections are looked at
+)
+
+// Options are the settings of all links of a front end.
+type Options struct {
+	ConnectTimeOut time.Duration
+	OrderTimeOut   time.Duration // an order without an answer by then is given up
+	Idle           time.Duration // workers close connections idle for so long; we do in half that time
+	Connections    int           // to all workers at once, idle ones included
+	Values         []string      // the figures of a load report, in our words, by their places
+	Log            zerolog.Logger
+}
+
+// Set has a front end's links. Its methods are for turns of the loop alone.
+type Set struct {
+	o      Options
+	loop   *turn.Loop
+	engine *engine.Engine
+	links  map[string]*Link
+	conns  int // connections that stand or are being made
+	looked time.Time
+}
+
+// New makes a set.
+func New(loop *turn.Loop, e *engine.Engine, o Options) *Set {
+	return &Set{o: o, loop: loop, engine: e, links: map[string]*Link{}}
+}
+
+// Link is the way to one worker. All but what exchanges do belongs to the loop's goroutine.
+type Link struct {
+	s       *Set
+	name    string
+	address string
+	id      router.WorkerID
+	idle    []idle
+	out     map[engine.CallOutID]*exchange
+	gone    bool
+}
+
+type idle struct {
+	conn  *hop.Conn
+	since time.Time
+}
+
+// Want has a link to the worker at an address; id is the worker's at the engine.
+func (s *Set) Want(name, address string, id router.WorkerID) {
+	l := s.links[name]
+	if l != nil && l.address == address {
+		return
+	}
+	s.Unwant(name)
+	l = &Link{s: s, name: name, address: address, id: id, out: map[engine.CallOutID]*exchange{}}
+	s.links[name] = l
+	s.engine.Connect(name, l)
+}
+
+// Unwant lets go of a link: nothing more is sent on it; what is out may still end, or be called off.
+func (s *Set) Unwant(name string) {
+	if l := s.links[name]; l != nil {
+		l.gone = true
+		delete(s.links, name)
+		l.closeIdle(time.Now())
+	}
+}
+
+// Renew takes new settings.
+func (s *Set) Renew(o Options) { s.o = o }
+
+// Begin looks after idle connections.
+func (s *Set) Begin() {
+	now := time.Now()
+	if now.Sub(s.looked) < look {
+		return
+	}
+	s.looked = now
+	for _, l := range s.links {
+		l.closeIdle(now.Add(-s.o.Idle / 2))
+	}
+}
+
+// closeIdle closes connections idle since before a time.
+func (l *Link) closeIdle(before time.Time) {
+	kept := l.idle[:0]
+	for _, c := range l.idle {
+		if c.since.Before(before) || !c.conn.Clean() {
+			l.drop(c.conn)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(l.idle[len(kept):])
+	l.idle = kept
+}
+
+func (l *Link) drop(c *hop.Conn) {
+	c.Close()
+	l.s.conns--
+}
+
+// take gives an idle connection that may be used again; nil: there is none.
+func (l *Link) take() *hop.Conn {
+	now := time.Now()
+	for i := len(l.idle) - 1; i >= 0; i-- {
+		c := l.idle[i]
+		if now.Sub(c.since) < rest {
+			continue
+		}
+		l.idle = append(l.idle[:i], l.idle[i+1:]...)
+		if c.conn.Clean() {
+			return c.conn
+		}
+		l.drop(c.conn)
+	}
+	return nil
+}
+
+// room tells whether one more connection may be made; an idle one of any worker gives way.
+func (s *Set) room() bool {
+	if s.conns < s.o.Connections {
+		return true
+	}
+	var oldest *Link
+	for _, l := range s.links {
+		if len(l.idle) > 0 && (oldest == nil || l.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = l
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.drop(oldest.idle[0].conn)
+	oldest.idle = oldest.idle[1:]
+	return true
+}
+
+// exchange is one message that is out.
+type exchange struct {
+	l       *Link
+	o       Options
+	what    string
+	message []byte
+	by      time.Time
+	ended   func(e end) // in a turn
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu   sync.Mutex
+	conn *hop.Conn
+	over bool // given up
+}
+
+// end is how an exchange ended; Err nil: with an answer.
+type end struct {
+	hop.Answer
+	err   error
+	local bool // it never left: for lack of descriptors here, or because the worker is gone
+}
+
+// start sends a message on a connection of its own.
+func (l *Link) start(what string, message []byte, within time.Duration, ended func(e end)) *exchange {
+	x := &exchange{l: l, o: l.s.o, what: what, message: message, by: time.Now().Add(within), ended: ended}
+	x.ctx, x.cancel = context.WithCancel(context.Background())
+	conn := l.take()
+	if conn == nil {
+		if l.gone || !l.s.room() {
+			l.s.loop.Post(func() { ended(end{err: hop.ErrUnsent, local: true}) })
+			return x
+		}
+		l.s.conns++
+	}
+	go x.run(conn)
+	return x
+}
+
+// run has the exchange. What did not leave on a connection used before is sent on a new one.
+func (x *exchange) run(conn *hop.Conn) {
+	began := time.Now()
+	a, conn, again, err := x.try(conn)
+	e := end{Answer: a, err: err}
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		e.local = true
+	}
+	if err != nil && conn != nil {
+		conn.Close()
+	}
+	x.cancel()
+	if ev := x.o.Log.Debug(); ev != nil {
+		ev.Str("worker", x.l.name).Str("what", x.what).Int("status", a.Status).AnErr("error", err).
+			Str("remark", a.Head.Get("X-Remark")).Str("company", a.Head.Get("X-Company")).Str("meter", a.Head.Get("X-Meter")).
+			Dur("took", time.Since(began)).Msg("exchange")
+	}
+	x.l.s.loop.Post(func() {
+		l := x.l
+		if err == nil && again && !l.gone {
+			l.idle = append(l.idle, idle{conn, time.Now()})
+		} else {
+			if conn != nil {
+				conn.Close()
+			}
+			l.s.conns--
+		}
+		x.ended(e)
+	})
+}
+
+func (x *exchange) try(conn *hop.Conn) (a hop.Answer, used *hop.Conn, again bool, err error) {
+	for reused := conn != nil; ; reused = false {
+		if conn == nil {
+			conn, err = hop.Dial(x.ctx, x.l.address, min(x.o.ConnectTimeOut, time.Until(x.by)))
+			if err != nil {
+				return a, nil, false, errors.Join(hop.ErrUnsent, err)
+			}
+		}
+		if !x.holds(conn) {
+			return a, conn, false, hop.ErrUnsent
+		}
+		a, again, err = conn.Exchange(x.message, x.by, bodyMost)
+		if !errors.Is(err, hop.ErrUnsent) || !reused || x.isOver() {
+			return a, conn, again, err
+		}
+		conn.Close()
+		conn = nil
+	}
+}
+
+// holds notes the connection to close if the exchange is given up; false: it was, before anything was sent.
+func (x *exchange) holds(c *hop.Conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.conn = c
+	return !x.over
+}
+
+func (x *exchange) isOver() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.over
+}
+
+// giveUp closes the connection: that is how a worker is told.
+func (x *exchange) giveUp() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over = true; x.conn != nil {
+		x.conn.Close()
+	}
+	x.cancel()
+}
+
+// outcome is what an end without an answer proves.
+func (e end) outcome() router.Outcome {
+	var op net.Error
+	switch {
+	case e.local:
+		return router.Full
+	case errors.Is(e.err, hop.ErrUnsent):
+		return router.ConnectFailed
+	case errors.Is(e.err, hop.ErrSpoilt):
+		return router.Errored
+	case errors.As(e.err, &op) && op.Timeout():
+		return router.TimedOut
+	case errors.Is(e.err, io.EOF), errors.Is(e.err, syscall.ECONNRESET), errors.Is(e.err, syscall.EPIPE):
+		return router.Reset
+	case errors.Is(e.err, net.ErrClosed):
+		return router.CalledOff
+	}
+	return router.Errored
+}
+
+// Send implements engine.Link.
+func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+	b := make([]byte, 0, 256+len(p.Blob))
+	verb := "POST "
+	if len(p.Blob) == 0 {
+		verb = "GET "
+	}
+	b = append(append(append(b, verb...), path...), p.Method.Name...)
+	b = l.host(b)
+	b = append(append(b, "\r\nX-Ticket: "...), p.Ticket...)
+	b = append(append(b, "\r\nX-Ref: "...), p.Function...)
+	b = strconv.AppendInt(append(b, "\r\nX-Max-Ms: "...), max(1, int64(left/10)), 10)
+	if p.Token != "" {
+		b = append(append(b, "\r\nX-Nonce: "...), p.Token...)
+	}
+	if len(p.Blob) > 0 {
+		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(p.Blob)), 10)
+	}
+	b = append(append(b, "\r\n\r\n"...), p.Blob...)
+	l.out[id] = l.start(p.Ticket, b, turn.Duration(left), func(e end) {
+		delete(l.out, id)
+		if e.err != nil {
+			l.s.engine.Answered(id, l.id, e.outcome(), router.Untold, 0, nil, []byte(e.err.Error()), nil)
+			return
+		}
+		o, warmth := answered(e)
+		var body, cause []byte
+		if o == router.OK {
+			body = e.Body
+		} else {
+			cause = strconv.AppendInt([]byte("worker "+l.name+" answers "), int64(e.Status), 10)
+		}
+		crowd, err := strconv.Atoi(e.Head.Get("X-Company"))
+		if err != nil || crowd < 0 || crowd > math.MaxInt16 {
+			crowd = 0
+		}
+		l.s.engine.Answered(id, l.id, o, warmth, crowd, l.s.report(e.Head.Get("X-Meter")), cause, body)
+	})
+}
+
+func (l *Link) host(b []byte) []byte {
+	return append(append(b, " HTTP/1.1\r\nHost: "...), l.address...)
+}
+
+// answered tells what an answer's status and note mean.
+func answered(e end) (router.Outcome, router.Warmth) {
+	notRun := e.Head.Get("X-Shed") == "1"
+	warmth := router.Untold
+	switch e.Head.Get("X-Remark") {
+	case "warm":
+		warmth = router.StoodWarm
+	case "cold":
+		warmth = router.BeganLoad
+	case "joined":
+		warmth = router.JoinedLoad
+	case "load_failed":
+		warmth = router.LoadFailed
+	}
+	switch {
+	case e.Status == http.StatusOK:
+		return router.OK, warmth
+	case e.Status == http.StatusNotFound:
+		return router.Missed, warmth
+	case e.Status == http.StatusServiceUnavailable && notRun:
+		return router.Full, warmth
+	case e.Status == http.StatusGatewayTimeout && notRun:
+		return router.Moot, warmth
+	}
+	return router.Errored, warmth
+}
+
+// report reads a load report: the figures of the settings, by their places; nil where one can't be read.
+func (s *Set) report(meter string) []float64 {
+	if meter == "" || len(s.o.Values) == 0 {
+		return nil
+	}
+	out, found := make([]float64, len(s.o.Values)), 0
+	for field := range strings.SplitSeq(meter, ";") {
+		name, value, _ := strings.Cut(field, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		for i, known := range s.o.Values {
+			if err == nil && known == site.Ours(name) && !math.IsNaN(v) && !math.IsInf(v, 0) {
+				out[i] = v
+				found++
+			}
+		}
+	}
+	if found < len(out) {
+		return nil
+	}
+	return out
+}
+
+// CallOff implements engine.Link.
+func (l *Link) CallOff(id engine.CallOutID) {
+	if x := l.out[id]; x != nil {
+		x.giveUp()
+	}
+}
+
+// Unhold implements engine.Link: an order stands even if its connection ends, so there is nobody to tell.
+func (l *Link) Unhold(engine.OrderID) {}
+
+// Hold implements engine.Link.
+func (l *Link) Hold(id engine.OrderID, function string, _ engine.Function, copies int) {
+	b := append(append([]byte("PUT "+path), function...), '/')
+	b = append(l.host(strconv.AppendInt(b, int64(copies), 10)), "\r\n\r\n"...)
+	l.start("order of "+function, b, l.s.o.OrderTimeOut, func(e end) {
+		if e.err != nil {
+			l.s.engine.Held(id, e.outcome(), 0)
+			return
+		}
+		n, err := strconv.Atoi(e.Head.Get("X-Slots-Up"))
+		if err != nil || n < 0 || n > math.MaxInt16 {
+			n = 0
+		}
+		o, _ := answered(e)
+		l.s.engine.Held(id, o, n)
+	})
+}
+
+// Check implements engine.Link.
+func (l *Link) Check(id engine.CheckID) {
+	b := append(l.host([]byte("GET /-/gauges")), "\r\n\r\n"...)
+	l.start("check", b, l.s.o.ConnectTimeOut, func(e end) {
+		switch {
+		case e.err != nil:
+			l.s.engine.Checked(id, e.outcome(), nil)
+		case e.Status != http.StatusOK:
+			l.s.engine.Checked(id, router.Errored, nil)
+		default:
+			l.s.engine.Checked(id, router.OK, l.s.report(e.Head.Get("X-Meter")))
+		}
+	})
+}
--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -8,6 +8,7 @@
 	"math"
 
 	"mallowlanding/internal/core"
+	"mallowlanding/internal/site"
 	"mallowlanding/router"
 )
 
@@ -167,7 +168,7 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	s, err := settings(text)
+	s, err := site.Settings(text)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,273 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/feed"
+	"mallowlanding/internal/front"
+	"mallowlanding/internal/httplink"
+	"mallowlanding/internal/ident"
+	"mallowlanding/internal/limits"
+	"mallowlanding/internal/terms"
+	"mallowlanding/internal/thrift"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+const (
+	margin = 10 * time.Millisecond // kept of each RPC's time for the answer's way to the client
+	// After SIGTERM connections come for 0.4 s and RPCs for 0.2 s more; what comes 0.7 s after it or later is owed
+	// nothing. For so long the front end goes on as before.
+	lame     = 700 * time.Millisecond
+	look     = 5 * time.Millisecond // how often a leaving front end looks whether all is answered
+	ownFiles = 24                   // descriptors for the listener, the journal service, standard streams and the runtime
+	heapPart = 0.7                  // of the memory limit: what Go's collector keeps its own under; stacks and code come to it
+)
+
+// FrontEnd is one on the platform.
+type FrontEnd struct {
+	path  string
+	env   func(string) string
+	log   zerolog.Logger
+	loop  *turn.Loop
+	e     *engine.Engine
+	desk  *front.Desk
+	links *httplink.Set
+	srv   *thrift.Server
+	feed  *feed.Feed
+	base  router.Time // the loop's time at the Unix epoch
+	ready atomic.Bool
+
+	// the loop's
+	zones, kinds []string
+	addresses    map[string]string // of workers, by name
+}
+
+// machine is the engine with both sides.
+type machine struct {
+	*engine.Engine
+	f *FrontEnd
+}
+
+// Begin begins a turn.
+func (m machine) Begin(now router.Time) {
+	m.f.desk.Begin(now)
+	m.f.links.Begin()
+	m.f.srv.Begin(now)
+	m.Engine.Begin(now)
+}
+
+// Due tells when a turn is wanted though nothing comes.
+func (m machine) Due() (router.Time, bool) {
+	a, anyA := m.Engine.Due()
+	b, anyB := m.f.desk.Due()
+	if anyA && (!anyB || a < b) {
+		return a, true
+	}
+	return b, anyB
+}
+
+// End ends a turn.
+func (m machine) End() {
+	m.f.desk.Pump()
+	m.Engine.End()
+	m.f.srv.Flush()
+}
+
+// New reads the configuration and puts a front end together. Nothing is listened to before Serve.
+func New(path string, env func(string) string, log zerolog.Logger) (*FrontEnd, *Config, error) {
+	c, err := ReadConfig(path, env)
+	if err != nil {
+		return nil, nil, err
+	}
+	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: turn.NewLoop(),
+		addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
+	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
+	c.Module[terms.List] = terms.Pushed
+	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
+		Log: func(text string) { f.log.Info().Str("from", "module").Msg(text) }})
+	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
+	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
+	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Connections: (c.Sockets - ownFiles) / 2, Ready: f.ready.Load,
+		MemoryMost: c.memoryMost(), Log: f.log})
+	f.feed = feed.New(c.Journal, f.listed, f.log)
+	return f, c, nil
+}
+
+func (f *FrontEnd) linkOptions(c *Config) httplink.Options {
+	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
+		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
+		Idle:         c.span(terms.May, terms.IdleClose, 10*time.Second),
+		Connections:  (c.Sockets - ownFiles) / 2, Values: c.Values, Log: f.log}
+}
+
+// Serve runs a front end until the context ends, and then goes on as before for a while, answers what it holds, and
+// leaves. A value on reload has the configuration read again.
+func Serve(ctx context.Context, path string, reload <-chan os.Signal, log zerolog.Logger) error {
+	f, c, err := New(path, os.Getenv, log)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1) // all front ends share cores; a second thread of ours would only wait for the first
+	debug.SetMemoryLimit(int64(c.MemoryMB * heapPart * (1 << 20)))
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return f.serve(ctx, l, c, reload)
+}
+
+func (f *FrontEnd) serve(ctx context.Context, l net.Listener, c *Config, reload <-chan os.Signal) error {
+	rest, endRest := context.WithCancel(context.Background())
+	defer endRest()
+	loopCtx, endLoop := context.WithCancel(context.Background())
+	defer endLoop()
+	var loopGroup, restGroup errgroup.Group
+	loopGroup.Go(func() error { f.loop.Run(loopCtx, machine{f.e, f}); return nil })
+	if err := f.feed.Apply(c.Known); err != nil { // the journal service tells it again
+		f.log.Warn().Err(err).Msg("the known events are not taken over")
+	}
+	restGroup.Go(func() error { f.feed.Run(rest); return nil })
+	restGroup.Go(func() error { return f.srv.Serve(l) })
+	f.loop.Post(func() { f.ready.Store(true) })
+	f.log.Info().Str("listen", l.Addr().String()).Float64("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).
+		Msg("front end takes RPCs")
+
+	for going := true; going; {
+		select {
+		case <-ctx.Done():
+			going = false
+		case <-reload:
+			f.reload(&c)
+		}
+	}
+	began := time.Now()
+	f.ready.Store(false)
+	f.log.Info().Msg("front end is leaving")
+	time.Sleep(lame)
+	l.Close()
+	most, end := context.WithDeadline(context.Background(), began.Add(c.longest()+lame))
+	defer end()
+	f.srv.Wait(most)
+	counts := make(chan engine.Counts, 1)
+	f.loop.Post(func() { counts <- f.e.Counts() })
+	n := <-counts
+	f.srv.Close()
+	endRest()
+	_ = restGroup.Wait()
+	endLoop()
+	_ = loopGroup.Wait()
+	f.log.Info().Int("unanswered", n.Open).Dur("after", time.Since(began)).Uint64("taken", n.Taken).Uint64("ok", n.OK).
+		Uint64("denied", n.Denied).Uint64("aborted", n.Aborted).Uint64("left", n.Left).Uint64("call_outs", n.CallOuts).
+		Uint64("load_orders", n.Orders).Uint64("checks", n.Checks).Uint64("turns", n.Turns).Msg("front end has left")
+	return nil
+}
+
+// reload reads the configuration again; one that is wrong leaves the old one in force.
+func (f *FrontEnd) reload(now **Config) {
+	c, err := ReadConfig(f.path, f.env)
+	if err == nil {
+		err = c.follows(*now)
+	}
+	if err != nil {
+		f.log.Error().Err(err).Msg("the new configuration is not taken: the old one stands")
+		return
+	}
+	*now = c
+	c.Module[terms.List] = terms.Pushed
+	f.feed.Move(c.Journal)
+	service, prepared, links := c.service(), router.Prepare(c.Module), f.linkOptions(c)
+	f.loop.Post(func() {
+		f.zones, f.kinds = c.Zones, c.Kinds
+		f.e.Renew(c.Module, prepared, c.Methods)
+		f.desk.Renew(service, limits.Settings{})
+		f.links.Renew(links)
+	})
+	debug.SetMemoryLimit(int64(c.MemoryMB * heapPart * (1 << 20)))
+	f.log.Info().Str("journal", c.Journal).Msg("the new configuration is in force")
+}
+
+// follows tells whether a configuration may take the place of another while RPCs are open: what they name by place
+// must stand there still.
+func (c *Config) follows(was *Config) error {
+	for i, m := range was.Methods {
+		if i >= len(c.Methods) || c.Methods[i].Name != m.Name {
+			return fmt.Errorf(`"settings": method %q is gone from place %d`, m.Name, i)
+		}
+	}
+	for _, names := range [][2][]string{{was.Customers, c.Customers}, {was.Zones, c.Zones}, {was.Kinds, c.Kinds}} {
+		for i, name := range names[0] {
+			if i >= len(names[1]) || names[1][i] != name {
+				return fmt.Errorf(`"settings": %q is gone from place %d`, name, i)
+			}
+		}
+	}
+	return nil
+}
+
+// listed takes an event of the journal service over.
+func (f *FrontEnd) listed(form router.ListForm, pos uint64, workers []feed.Worker) {
+	f.loop.Post(func() {
+		f.e.ListBegins(form, pos)
+		named := map[string]bool{}
+		for _, w := range workers {
+			if err := f.worker(w); err != nil {
+				f.log.Error().Err(err).Msg("a worker is left out")
+			}
+			named[w.Name] = true
+		}
+		f.e.ListEnds()
+		if form == router.Whole {
+			for name := range f.addresses {
+				if !named[name] {
+					f.links.Unwant(name)
+					delete(f.addresses, name)
+				}
+			}
+		}
+	})
+}
+
+func (f *FrontEnd) worker(w feed.Worker) error {
+	started := router.Time(0)
+	if w.StartedMs > 0 {
+		started = max(1, router.Time(w.StartedMs*10)+f.base)
+	}
+	if err := f.e.Listed(w.Name, w.State, started, router.ZoneID(place(f.zones, w.Zone)), router.CellID(w.Cell),
+		router.KindID(place(f.kinds, w.Kind))); err != nil {
+		return err
+	}
+	address := w.Address
+	if address == "" {
+		address = f.addresses[w.Name]
+	}
+	if w.State != router.Ready || address == "" { // nothing new goes there
+		f.links.Unwant(w.Name)
+		delete(f.addresses, w.Name)
+		return nil
+	}
+	f.addresses[w.Name] = address
+	f.links.Want(w.Name, address, ident.Worker(w.Name))
+	return nil
+}
+
+// place is a name's in a list; one that is not there has the place behind all others.
+func place(list []string, name string) int {
+	for i, known := range list {
+		if known == name {
+			return i
+		}
+	}
+	return len(list)
+}
--- a/internal/pebble/settings.go
+++ b/internal/site/site.go
@@ -1,4 +1,6 @@
-package pebble
+// Package site reads the settings that an instance is given by the operators, under their names and in their units,
+// and hands them on under ours. The bench's adapter and the front end on the platform share it.
+package site
 
 import (
 	"encoding/json"
@@ -14,7 +16,7 @@
 	"balancers": terms.FrontEnds, "myNumber": terms.Me, "zone": terms.Zone, "tickNs": terms.Tick,
 	"ceilings": terms.May, "cancel": terms.Retract, "connectTimeoutNs": terms.ConnectTimeOut, "mayProbe": terms.Check,
 	"mostTries": terms.CallOuts, "maxRetryAfterNs": terms.ComeBack, "retryAfter": terms.Advise,
-	"secondCopies": terms.Overlap, "maxOpen": terms.Open, "peers": terms.Tell,
+	"secondCopies": terms.Overlap, "maxOpen": terms.Open, "idleCloseNs": terms.IdleClose, "peers": terms.Tell,
 	"costs": terms.Price, "crossZone": terms.CrossZone, "lateFail": terms.Late, "origin": terms.Fetch, "probe": terms.Check,
 	"waste":     terms.Waste,
 	"customers": terms.Customers, "quotaPerS": terms.Quota, "share": terms.Share,
@@ -32,28 +34,55 @@
 	"retryable": router.Idempotent, "dedup": router.Tokened, "fragile": router.SideEffecting,
 	"automatic": terms.Pushed, "subscribe": terms.Asked, "rif": terms.InHand, "q": terms.Waiting, "busy": terms.Util,
 	"lat_ms": terms.Latency, "rate": terms.Served, "fail_rate": terms.Errors, "x0": terms.Pinned, "x1": terms.Loads,
+	// the same on sockets
+	"inflight": terms.InHand, "queue": terms.Waiting, "util": terms.Util, "latency_ms": terms.Latency,
+	"qps": terms.Served, "eps": terms.Errors,
 }
 
-func ours(word string) string {
+// nsPerUnit: the operators' times are in nanoseconds, the module's in tenths of a millisecond.
+const nsPerUnit = 100_000
+
+// Ours is our word for one of the operators'; one that is unknown stays as it is.
+func Ours(word string) string {
 	if w, known := words[word]; known {
 		return w
 	}
 	return word
 }
 
-// settings flattens the wire's JSON into our names and units.
-func settings(text []byte) (router.Settings, error) {
+// Settings flattens the operators' JSON into our names and units.
+func Settings(text []byte) (router.Settings, error) {
 	var tree map[string]any
 	if err := json.Unmarshal(text, &tree); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	return Flat(tree), nil
+}
+
+// Flat is Settings of what has been decoded.
+func Flat(tree map[string]any) router.Settings {
 	out := router.Settings{}
 	for name, v := range tree {
 		if word, known := words[name]; known {
 			flatten(out, word, name, v)
 		}
 	}
-	return out, nil
+	return out
+}
+
+// Names are those of a list of the operators' settings, by place: of methods ("grades"), customers ("customers"),
+// zones ("localities") and kinds of worker ("models").
+func Names(tree map[string]any, list string) (names []string) {
+	places, _ := tree[list].([]any)
+	for _, place := range places {
+		name, isWord := place.(string)
+		if !isWord {
+			inner, _ := place.(map[string]any)
+			name, _ = inner["name"].(string)
+		}
+		names = append(names, name)
+	}
+	return names
 }
 
 func flatten(out router.Settings, path, name string, v any) {
@@ -69,7 +98,7 @@
 		for i, inner := range v {
 			flatten(out, terms.At(path, i, ""), name, inner)
 			if value, isWord := inner.(string); isWord {
-				out[terms.Path(path, ours(value))] = float64(i)
+				out[terms.Path(path, Ours(value))] = float64(i)
 			}
 		}
 	case float64:
@@ -80,6 +109,6 @@
 	case bool:
 		out[path] = v
 	case string:
-		out[path] = ours(v)
+		out[path] = Ours(v)
 	}
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -23,6 +23,7 @@
 	Advise         = "advise"
 	Overlap        = "overlap"
 	Open           = "open"
+	IdleClose      = "idle-close"
 	Tell           = "tell"
 
 	Price     = "price"
--- /dev/null
+++ b/internal/thrift/server.go
@@ -0,0 +1,175 @@
+package thrift
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/front"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+// Options are a server's settings.
+type Options struct {
+	Connections int         // at once; beyond that one without an open RPC gives way
+	Ready       func() bool // what check answers; any goroutine may ask
+	MemoryMost  float64     // MB of a copy: the largest worker's
+	Log         zerolog.Logger
+}
+
+const (
+	openMost    = 32              // RPCs open on one connection, by the protocol
+	silentMost  = 2 * time.Second // from connecting to a first whole message; bad clients are owed a close within 3 s
+	frameWithin = 2 * time.Second // from a message's first byte to its last
+	idleMost    = 6 * time.Second // without an open RPC; clients close after 4 s themselves
+	writeMost   = 2 * time.Second // a client that takes no byte for so long is cut off
+	unreadMost  = 1 << 20         // bytes of answers that wait for a slow reader before it is cut off
+	strikesMost = 3               // messages that can't be served before a connection is closed
+	strikeRest  = 50 * time.Millisecond
+	ticketsFor  = 5 * time.Second // an RPC's id is known again for so long at the least, twice that at the most
+)
+
+// Server takes connections. The last fields belong to the loop's goroutine.
+type Server struct {
+	o     Options
+	loop  *turn.Loop
+	desk  *front.Desk
+	mu    sync.Mutex
+	conns map[*conn]bool
+
+	now     router.Time
+	dirty   []*conn            // with answers of this turn
+	tickets [2]map[uint64]bool // ids seen lately; the second from before the last change
+	changed router.Time
+}
+
+// New makes a server for a desk that loop drives.
+func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
+	return &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, tickets: [2]map[uint64]bool{{}, {}}}
+}
+
+// Serve takes connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or gone before it was taken
+			s.o.Log.Warn().Err(err).Msg("accept")
+			s.makeRoom(1)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if !s.makeRoom(0) {
+			nc.Close()
+			continue
+		}
+		c := newConn(s, nc)
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go c.serve()
+	}
+}
+
+// makeRoom closes a connection where all places but spare are taken: one that never sent a whole message, the first
+// come first, else the one longest without an open RPC. It guards usual clients against those that connect by
+// hundreds and say nothing. It tells whether there is room.
+func (s *Server) makeRoom(spare int) bool {
+	s.mu.Lock()
+	if len(s.conns) < s.o.Connections-spare {
+		s.mu.Unlock()
+		return true
+	}
+	var victim *conn
+	for c := range s.conns {
+		if c.open.Load() == 0 && (victim == nil || c.before(victim)) {
+			victim = c
+		}
+	}
+	if victim != nil {
+		delete(s.conns, victim)
+	}
+	s.mu.Unlock()
+	if victim != nil {
+		victim.nc.Close()
+	}
+	return victim != nil
+}
+
+// CloseIdle closes connections without an open RPC, and tells how many are left.
+func (s *Server) CloseIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.open.Load() == 0 && c.waiting() == 0 {
+			c.nc.Close()
+			delete(s.conns, c)
+		}
+	}
+	return len(s.conns)
+}
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.nc.Close()
+	}
+}
+
+// Begin tells the time of a turn.
+func (s *Server) Begin(now router.Time) {
+	if s.now = now; now-s.changed >= turn.Span(ticketsFor) {
+		s.tickets, s.changed = [2]map[uint64]bool{{}, s.tickets[0]}, now
+	}
+}
+
+// Flush sends the turn's answers; it may be called in a turn alone, at its end.
+func (s *Server) Flush() {
+	for i, c := range s.dirty {
+		c.dirty = false
+		c.flush()
+		s.dirty[i] = nil
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// fresh notes an RPC's id; false: it was seen lately.
+func (s *Server) fresh(ticket uint64) bool {
+	if s.tickets[0][ticket] || s.tickets[1][ticket] {
+		return false
+	}
+	s.tickets[0][ticket] = true
+	return true
+}
+
+// forget has an id be fresh again: its connection ended before its answer, and its client may send it once more.
+func (s *Server) forget(ticket uint64) {
+	delete(s.tickets[0], ticket)
+	delete(s.tickets[1], ticket)
+}
+
+func number(ticket string) uint64 {
+	n, _ := strconv.ParseUint(ticket, 16, 64) // it is 16 hex digits
+	return n
+}
+
+// isTimeOut tells whether a read or write met its deadline.
+func isTimeOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// Wait returns once no connection is left, or the context ends.
+func (s *Server) Wait(ctx context.Context) {
+	for s.CloseIdle() > 0 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
