Marked repeats no longer make all first tries look late; a lone reset is no restart

Excluded: sockets (first-try budgets all 1034 ms, exchanges clean), descriptors, core time. At fault: Router.Take took m.most from marked repeats too, whose budget is what is left of the deadline (1340 ms): every first try then counted as an unmarked repeat, late from the start.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -241,6 +241,14 @@
 	return c
 }
 
+// View tells what the module believes, where it can tell; see router.Router.
+func (e *Engine) View() string {
+	if v, can := e.core.Module.(interface{ View() string }); can {
+		return v.View()
+	}
+	return ""
+}
+
 // Take hands an RPC to the module. Left is how long its client waits from now on; m is the method's place in the
 // settings, customer the customer's, 0 where there are none. The function's name must not meet another's id: see
 // Meets.
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -8,10 +8,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -99,6 +102,16 @@
 // Renew takes new settings.
 func (s *Set) Renew(o Options) { s.o = o }
 
+// View tells for each link what is out on it and how many connections are idle; see router.Router's.
+func (s *Set) View() string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(s.links)) {
+		l := s.links[name]
+		fmt.Fprintf(&b, " %d:%d/%d", l.id, len(l.out), len(l.idle))
+	}
+	return fmt.Sprintf("connections %d of %d;%s", s.conns, s.o.Connections, b.String())
+}
+
 // Begin looks after idle connections.
 func (s *Set) Begin() {
 	now := time.Now()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -144,6 +144,9 @@
 	f.log.Info().Str("listen", l.Addr().String()).Float64("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).
 		Msg("front end takes RPCs")
 
+	if f.log.Debug() != nil {
+		restGroup.Go(func() error { f.compare(rest); return nil })
+	}
 	for going := true; going; {
 		select {
 		case <-ctx.Done():
@@ -174,6 +177,18 @@
 	return nil
 }
 
+// compare logs each second what the module believes beside what the sockets carry.
+func (f *FrontEnd) compare(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+			f.loop.Post(func() { f.log.Debug().Str("module", f.e.View()).Str("sockets", f.links.View()).Msg("view") })
+		}
+	}
+}
+
 // reload reads the configuration again; one that is wrong leaves the old one in force.
 func (f *FrontEnd) reload(now **Config) {
 	c, err := ReadConfig(f.path, f.env)
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -160,6 +160,7 @@
 			c.last = seq
 			a := &pending{c: c, seq: seq, ticket: number(p.Ticket)}
 			c.asks[seq] = a
+			c.s.o.Log.Debug().Float64("budget", p.Time).Bool("again", p.Repeat).Int("method", p.Method).Msg("take")
 			a.ask = c.at().Take(p, turn.Span(time.Since(came)), a)
 		}
 	})
--- a/router/router.go
+++ b/router/router.go
@@ -149,6 +149,7 @@
 	ill               string  // symptom, or ""
 	illUntil, illBack Time
 	checking, trial   bool      // a check is out; the next RPC may try it
+	broke             bool      // a connection broke since it was last heard
 	sent              []callOut // while cold
 	util, pinned      float64   // as last reported
 	served            float64   // work done for us per unit of time, lately
@@ -180,19 +181,6 @@
 	mayHave       bool // a call-out that is over may have run
 }
 
-func (s Settings) num(name string, or float64) float64 {
-	if v, ok := s[name].(float64); ok {
-		return v
-	}
-	return or
-}
-
-func (s Settings) span(name string, or Time) Time { return Time(s.num(name, float64(or))) }
-
-func (s Settings) is(name string) bool { v, _ := s[name].(bool); return v }
-
-func (s Settings) word(name string) string { v, _ := s[name].(string); return v }
-
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
@@ -412,9 +400,8 @@
 	fn.lanes = max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1}
 	p.gain, p.repeat = p.m.gain, repeat
-	p.m.most = max(p.m.most, budget)
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
-		p.late += p.m.soft
+		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
 		if r.stoodStill() { // it has waited for us
 			p.late -= p.m.most - budget
 		} else if budget > p.m.soft && budget < p.m.most-beat { // cut by the deadline: an unmarked repeat
@@ -688,13 +675,6 @@
 	return (max(0, p.fn.asked-one) + shareBefore*shareWeight*one) / (max(0, p.r.asked-one) + shareWeight*one)
 }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // allowed: the rules and the worker's health allow a call-out of this RPC there now.
 func (p *RPC) allowed(w *worker) bool {
 	r := p.r
@@ -877,7 +857,7 @@
 func (p *RPC) judge(c *callOut, o Outcome, warmth Warmth, crowd int, took Time) {
 	r, w, fn, in := p.r, c.w, p.fn, c.in
 	if o == OK || o == Errored || o == Missed || o == Full {
-		w.heard = r.now
+		w.heard, w.broke = r.now, false
 	}
 	switch o {
 	case OK:
@@ -925,6 +905,12 @@
 			r.tokens += r.real // it never began
 		}
 	case ConnectFailed, Reset:
+		if o == Reset && !w.broke { // one may break alone; a process that ends breaks all and refuses new ones
+			if w.broke = true; in.loading && in.active == 0 {
+				delete(w.holds, fn.id)
+			}
+			break
+		}
 		w.restart(r.now)
 		w.sicken(r, "broken connections", float64(w.active))
 	case TimedOut, CalledOff, Moot:
