--- a/router/router.go
+++ b/router/router.go
@@ -402,7 +402,7 @@
 	p.gain, p.repeat = p.m.gain, repeat
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
 		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
-		if r.stoodStill() { // it has waited for us
+		if r.stoodStill() {                                       // it has waited for us
 			p.late -= p.m.most - budget
 		} else if budget > p.m.soft && budget < p.m.most-beat { // cut by the deadline: an unmarked repeat
 			p.late -= max(0, p.m.deadline-budget)
