A worker that reports idle cores is given more RPCs at once

Examined: view and tally a second; reports in X-Meter against out counts. Excluded: lanes (no-lane 0 to 3 of 60), loads. At fault: Router.open, a fixed bound whatever a worker's cores do. Now it grows by a quarter an answer while the worker reports under 0.8 and the bound holds RPCs back, shrinks at 0.95, four times at the most. May do damage where util is old and all front ends grow at once; the shrink and the worker's own refusals bound that.

--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"strconv"
 )
 
 const (
@@ -51,6 +50,9 @@
 	loadLost    = 2        // usual times of a load after which its copy is waited for no longer
 	farBehind   = 3        // RPCs behind which a warm instance is left for a further copy
 	workerBusy  = 6        // RPCs of all front ends that a worker is given at once; of ours two at the least
+	idleUtil    = 0.8      // a worker that reports less is given more than that, answer by answer
+	busyUtil    = 0.95     // and less again where it reports more: its cores are taken
+	workerMost  = 4        // so many times workerBusy at the most
 	fleetBusy   = 8        // RPCs of all front ends for each worker, on the mean, while answers are late
 	easeMost    = 5        // so many times that while they are in time: some front ends carry more
 	easeUp      = 0.02     // up with each warm answer in time; down by easeDown of it with each late one
@@ -152,6 +154,7 @@
 	broke             bool      // a connection broke since it was last heard
 	sent              []callOut // while cold
 	util, pinned      float64   // as last reported
+	bound             float64   // RPCs of ours that it is given at once, where its cores leave room for more
 	served            float64   // work done for us per unit of time, lately
 }
 
@@ -193,30 +196,6 @@
 	return r
 }
 
-// Prepared is settings as the module reads them; that needs no turn.
-type Prepared struct {
-	set     Settings
-	methods []*method
-	quotas  []float64 // of customers: this front end's parts, per unit of time
-}
-
-// Prepare reads settings for New or Renew.
-func Prepare(s Settings) (p Prepared) {
-	p.set = s
-	for i := range int(s.num("methods", 0)) {
-		at := "methods." + strconv.Itoa(i) + "."
-		p.methods = append(p.methods, &method{gain: s.num(at+"gain", 1), lateShare: s.num(at+"late-share", 0),
-			soft: s.span(at+"soft-deadline", sec), deadline: s.span(at+"deadline", 0),
-			effect: s.word(at + "effect"), group: s.word(at + "group"), window: s.span(at+"window", 0),
-			work: float64(priorWork)})
-	}
-	for i := range int(s.num("customers", 0)) {
-		quota := s.num("customers."+strconv.Itoa(i)+".quota", 0)
-		p.quotas = append(p.quotas, quota/max(1, s.num("front-ends", 1))/float64(sec))
-	}
-	return p
-}
-
 // heed takes methods and customers over, and keeps what was learned of those known before.
 func (r *Router) heed(p Prepared) {
 	r.set, r.zone = p.set, ZoneID(p.set.num("zone", 0))
@@ -376,10 +355,6 @@
 	}
 }
 
-func (r *Router) memory(w *worker) float64 {
-	return r.set.num("functions.memory."+strconv.Itoa(int(w.kind)), 0)
-}
-
 // restart forgets what stood on a worker that began anew: it is empty and cold.
 func (w *worker) restart(at Time) {
 	w.started, w.known, w.sent, w.errors, w.slow = at, true, nil, 0, 1
@@ -402,7 +377,7 @@
 	p.gain, p.repeat = p.m.gain, repeat
 	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
 		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
-		if r.stoodStill() {                                       // it has waited for us
+		if r.stoodStill() {
 			p.late -= p.m.most - budget
 		} else if budget > p.m.soft && budget < p.m.most-beat { // cut by the deadline: an unmarked repeat
 			p.late -= max(0, p.m.deadline-budget)
@@ -433,8 +408,6 @@
 	return true
 }
 
-func fade(since, over Time) float64 { return math.Exp(-float64(since) / float64(over)) }
-
 func (fn *function) recent(now Time) float64 { return fn.need * fade(now-fn.needAt, needFade) }
 
 // place is the ordinary path: a warm instance with room, else a load. It tells whether the RPC went out.
@@ -516,8 +489,6 @@
 	}
 }
 
-func (r *Router) frontEnds() float64 { return max(1, r.set.num("front-ends", 1)) }
-
 func (r *Router) far(w *worker) bool { return r.near && w.zone != r.zone }
 
 // order has a copy loaded that no RPC rides on.
@@ -695,7 +666,7 @@
 
 // open: the worker is not full, nor holds our share of RPCs; those that wait for a load don't count.
 func (r *Router) open(w *worker) bool {
-	room := max(2, int(workerBusy/r.frontEnds())) - w.active
+	room := int(max(2, workerBusy/r.frontEnds(), w.bound)) - w.active
 	for _, in := range w.holds {
 		if in.loading {
 			room += in.active
@@ -975,10 +946,22 @@
 }
 
 func (w *worker) report(r *Router, values []float64) {
-	for name, to := range map[string]*float64{"util": &w.util, "pinned": &w.pinned} {
-		if at := int(r.set.num("report.values."+name, -1)); at >= 0 && at < len(values) {
-			*to = values[at]
+	told := func(name string, to *float64) bool {
+		at := int(r.set.num("report.values."+name, -1))
+		if at < 0 || at >= len(values) {
+			return false
 		}
+		*to = values[at]
+		return true
+	}
+	if told("pinned", &w.pinned); !told("util", &w.util) {
+		return
+	}
+	// Exception: a worker with idle cores is given more than our even share, where that bound held RPCs back.
+	if even := max(2, workerBusy/r.frontEnds()); w.util >= busyUtil {
+		w.bound *= 0.9
+	} else if w.util < idleUtil && float64(w.active+2) > max(even, w.bound) {
+		w.bound = min(max(even, w.bound)+0.25, workerMost*even)
 	}
 }
 
