Where clients mark their repeats, an RPC's budget never makes it look like one

Examined: budgets in the debug log. First tries have 658 ms, a few 659 to 679: one above the usual by a beat (20 ms) made all usual ones look cut by the deadline. At fault: Router.Take's guess at unmarked repeats. clientHabits.marksRetry is read now; where it is true there is no guess.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -17,6 +17,7 @@
 	"ceilings": terms.May, "cancel": terms.Retract, "connectTimeoutNs": terms.ConnectTimeOut, "mayProbe": terms.Check,
 	"mostTries": terms.CallOuts, "maxRetryAfterNs": terms.ComeBack, "retryAfter": terms.Advise,
 	"secondCopies": terms.Overlap, "maxOpen": terms.Open, "idleCloseNs": terms.IdleClose, "peers": terms.Tell,
+	"clientHabits": terms.Clients, "marksRetry": terms.MarkRepeats,
 	"costs": terms.Price, "crossZone": terms.CrossZone, "lateFail": terms.Late, "origin": terms.Fetch, "probe": terms.Check,
 	"waste":     terms.Waste,
 	"customers": terms.Customers, "quotaPerS": terms.Quota, "share": terms.Share,
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -26,6 +26,9 @@
 	IdleClose      = "idle-close"
 	Tell           = "tell"
 
+	Clients     = "clients"
+	MarkRepeats = "mark-repeats"
+
 	Price     = "price"
 	CrossZone = "cross-zone"
 	Late      = "late"
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -148,6 +148,8 @@
 			c.open.Add(-1)
 		case seq <= c.last || len(c.asks) >= openMost: // a number that was used, or more open than the protocol allows
 			c.open.Add(-1)
+			c.s.o.Log.Debug().Str("client", c.nc.RemoteAddr().String()).Int32("seq", seq).Int32("last", c.last).
+				Int("open", len(c.asks)).Msg("a client breaks the order of numbers, or has too many RPCs open")
 			c.shut()
 			c.nc.Close()
 		case err != nil:
@@ -168,9 +170,11 @@
 
 // refuse answers what can't be served; in a turn.
 func (c *conn) refuse(seq int32, err error) {
-	c.open.Add(-1)
 	c.strikes.Add(1)
+	c.s.o.Log.Debug().Err(err).Str("client", c.nc.RemoteAddr().String()).Int32("seq", seq).Int("open", len(c.asks)).
+		Msg("an RPC that can't be served")
 	c.say(failed(seq, err.Error()))
+	c.open.Add(-1)
 }
 
 // interrupt implements peer.
@@ -298,8 +302,8 @@
 func (p *pending) Refused(message string) { p.answer(failed(p.seq, message)) }
 
 func (p *pending) answer(frame []byte) {
+	p.c.say(frame) // first: a connection with nothing open and nothing to write may be closed at any time
 	p.over()
-	p.c.say(frame)
 }
 
 // params reads an RPC's fields; any goroutine may. Nothing unchecked passes here.
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -91,7 +91,7 @@
 	}
 	var victim *conn
 	for c := range s.conns {
-		if c.open.Load() == 0 && (victim == nil || c.before(victim)) {
+		if c.open.Load() == 0 && c.waiting() == 0 && (victim == nil || c.before(victim)) {
 			victim = c
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -379,7 +379,8 @@
 		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
 		if r.stoodStill() {
 			p.late -= p.m.most - budget
-		} else if budget > p.m.soft && budget < p.m.most-beat { // cut by the deadline: an unmarked repeat
+		} else if !r.set.is("clients.mark-repeats") && budget > p.m.soft && budget < p.m.most-beat {
+			// cut by the deadline: an unmarked repeat. Where clients mark theirs, budgets tell nothing of that
 			p.late -= max(0, p.m.deadline-budget)
 		}
 	}
