An id that a bad client took first no longer costs a usual client its connection

Excluded: read deadlines, frames, numbers, the bound of 32, evicted connections. At fault: conn.go, strikes never went back and closed a connection whatever was open; and a bad client that sends the id of an RPC before its own client does made the second one the offender. Now strikes count one after the other, never close a connection with RPCs open, and of two open RPCs of one id the client that was answered ok more often keeps it.

--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -27,7 +27,7 @@
 	since   atomic.Int64 // when it last sent a message or had an answer, Unix ns
 	spoke   atomic.Bool  // it sent a whole message
 	open    atomic.Int32 // RPCs that were read and are not over
-	strikes atomic.Int32 // messages that could not be served
+	strikes atomic.Int32 // messages that could not be served, one after the other
 
 	mu      sync.Mutex
 	out     []byte // answers that the socket has not taken
@@ -36,6 +36,7 @@
 	// the loop's
 	desk  *front.Conn
 	last  int32 // number of the last RPC
+	ok    int   // RPCs that it was answered ok
 	asks  map[int32]*pending
 	gone  bool
 	dirty bool // it has answers of this turn
@@ -112,7 +113,7 @@
 		if err := decode(frame, c); err != nil {
 			return fmt.Errorf("message: %w", err)
 		}
-		if strikes := c.strikes.Load(); strikes >= strikesMost {
+		if strikes := c.strikes.Load(); strikes >= strikesMost && c.open.Load() == 0 {
 			return fmt.Errorf("%d messages that can't be served", strikes)
 		} else if strikes > 0 { // guards the core against clients that send such ones at full speed
 			time.Sleep(strikeRest)
@@ -155,19 +156,24 @@
 		case err != nil:
 			c.last = seq
 			c.refuse(seq, err)
-		case !c.s.fresh(number(p.Ticket)):
+		case !c.s.fresh(number(p.Ticket), c):
 			c.last = seq
-			c.refuse(seq, errors.New(`"rid" was seen before`))
+			c.refuse(seq, errSeen)
 		default:
 			c.last = seq
+			c.strikes.Store(0)
 			a := &pending{c: c, seq: seq, ticket: number(p.Ticket)}
 			c.asks[seq] = a
+			c.s.tickets[0][a.ticket] = a
 			c.s.o.Log.Debug().Float64("budget", p.Time).Bool("again", p.Repeat).Int("method", p.Method).Msg("take")
 			a.ask = c.at().Take(p, turn.Span(time.Since(came)), a)
 		}
 	})
 }
 
+// errSeen: the id of an RPC must be new.
+var errSeen = errors.New(`"rid" was seen before`)
+
 // refuse answers what can't be served; in a turn.
 func (c *conn) refuse(seq int32, err error) {
 	c.strikes.Add(1)
@@ -193,6 +199,13 @@
 	c.s.loop.Post(func() { c.say(answered(callCheck, seq, nil, good)) })
 }
 
+// displace answers an open RPC whose id belongs to another client; in a turn.
+func (p *pending) displace() {
+	p.ask.Leave()
+	p.c.strikes.Add(1)
+	p.Refused(errSeen.Error())
+}
+
 // at is the connection's place at the desk; in a turn.
 func (c *conn) at() *front.Conn {
 	if c.desk == nil {
@@ -207,16 +220,21 @@
 		return
 	}
 	c.gone = true
+	if len(c.asks) > 0 {
+		c.s.o.Log.Debug().Str("client", c.nc.RemoteAddr().String()).Int("open", len(c.asks)).Int32("last", c.last).
+			Msg("a connection ends with RPCs open")
+	}
 	if c.desk != nil {
 		c.desk.Leave()
 	}
 	for _, p := range c.asks {
-		c.s.forget(p.ticket)
 		p.over()
+		c.s.forget(p.ticket)
 	}
 }
 
 func (p *pending) over() {
+	p.c.s.ended(p)
 	delete(p.c.asks, p.seq)
 	p.c.since.Store(time.Now().UnixNano())
 	p.c.open.Add(-1)
@@ -290,7 +308,10 @@
 }
 
 // OK implements front.Reply.
-func (p *pending) OK(_, blob []byte) { p.answer(answered(callExecute, p.seq, blob, true)) }
+func (p *pending) OK(_, blob []byte) {
+	p.c.ok++
+	p.answer(answered(callExecute, p.seq, blob, true))
+}
 
 // Denied implements front.Reply.
 func (p *pending) Denied(_ string, comeBack router.Time) { p.answer(refused(p.seq, comeBack)) }
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -45,14 +45,14 @@
 	conns map[*conn]bool
 
 	now     router.Time
-	dirty   []*conn            // with answers of this turn
-	tickets [2]map[uint64]bool // ids seen lately; the second from before the last change
+	dirty   []*conn                // with answers of this turn
+	tickets [2]map[uint64]*pending // ids seen lately, nil where the RPC is over; the second from before the last change
 	changed router.Time
 }
 
 // New makes a server for a desk that loop drives.
 func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
-	return &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, tickets: [2]map[uint64]bool{{}, {}}}
+	return &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, tickets: [2]map[uint64]*pending{{}, {}}}
 }
 
 // Serve takes connections until the listener is closed.
@@ -130,7 +130,7 @@
 // Begin tells the time of a turn.
 func (s *Server) Begin(now router.Time) {
 	if s.now = now; now-s.changed >= turn.Span(ticketsFor) {
-		s.tickets, s.changed = [2]map[uint64]bool{{}, s.tickets[0]}, now
+		s.tickets, s.changed = [2]map[uint64]*pending{{}, s.tickets[0]}, now
 	}
 }
 
@@ -144,15 +144,30 @@
 	s.dirty = s.dirty[:0]
 }
 
-// fresh notes an RPC's id; false: it was seen lately.
-func (s *Server) fresh(ticket uint64) bool {
-	if s.tickets[0][ticket] || s.tickets[1][ticket] {
-		return false
+// fresh tells whether an RPC's id may be taken from a connection. One that was seen lately may not, but for an RPC that
+// is open for a client which was answered ok less often: it gives way. That guards usual clients against one that
+// sends their ids before they do.
+func (s *Server) fresh(ticket uint64, c *conn) bool {
+	for _, tickets := range s.tickets {
+		if p, seen := tickets[ticket]; p != nil && p.c.ok < c.ok && p.c != c {
+			p.displace()
+			s.forget(ticket)
+		} else if seen {
+			return false
+		}
 	}
-	s.tickets[0][ticket] = true
 	return true
 }
 
+// ended notes that an RPC is over; its id stays known for a while.
+func (s *Server) ended(p *pending) {
+	for _, tickets := range s.tickets {
+		if tickets[p.ticket] == p {
+			tickets[p.ticket] = nil
+		}
+	}
+}
+
 // forget has an id be fresh again: its connection ended before its answer, and its client may send it once more.
 func (s *Server) forget(ticket uint64) {
 	delete(s.tickets[0], ticket)
