Repeats' lateness from their budget; what never went out is given up at half its time

Examined: tally of held RPCs a second, budgets of repeats (deadline less what has gone by since the first try). At fault: Router.Take took each marked repeat for late from the start, also one that came 100 ms after a denial; leaveAt held what could only earn the late share to the end of its client's time. An RPC given up has its denial at once, as before; it is given up earlier, so that its client has time for another try.

--- a/router/router.go
+++ b/router/router.go
@@ -375,7 +375,9 @@
 	fn.lanes = max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1}
 	p.gain, p.repeat = p.m.gain, repeat
-	if !repeat { // a client's repeat comes after its first try has spent the soft deadline, or most of it
+	if repeat && p.m.deadline > 0 { // its client's time runs from the first try: the budget tells what is left of it
+		p.late += p.m.soft - max(0, p.m.deadline-budget)
+	} else if !repeat {
 		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
 		if r.stoodStill() {
 			p.late -= p.m.most - budget
@@ -1127,13 +1129,18 @@
 }
 
 // leaveAt is the last moment at which sending a held RPC still makes sense; at it, it is given up. A client's
-// repeat comes after a try has spent all its time: where that was short, the RPC likely works for longer.
+// repeat comes after a try has spent all its time: where that was short, the RPC likely works for longer. One
+// that never went out is given up while its client has half of its time left to try again elsewhere.
 func (p *RPC) leaveAt() Time {
 	need := p.work()
 	if p.repeat {
 		need *= repeatWorks
 	}
-	return p.end - max(Time(need), 2*beat)
+	leave := p.end - max(Time(need), 2*beat)
+	if len(p.calls) == 0 {
+		leave = min(leave, max(p.late, p.end-(p.end-p.at)/2)-2*beat)
+	}
+	return leave
 }
 
 // work is the RPC's usual time on a warm instance.
