--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,6 +47,7 @@
 	srv   *thrift.Server
 	feed  *feed.Feed
 	base  router.Time // the loop's time at the Unix epoch
+	lame  time.Duration
 	ready atomic.Bool
 
 	// the loop's
@@ -92,7 +93,7 @@
 		return nil, nil, err
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: turn.NewLoop(),
-		addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
+		lame: lame, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	c.Module[terms.List] = terms.Pushed
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
@@ -158,7 +159,7 @@
 	began := time.Now()
 	f.ready.Store(false)
 	f.log.Info().Msg("front end is leaving")
-	time.Sleep(lame)
+	time.Sleep(f.lame)
 	l.Close()
 	most, end := context.WithDeadline(context.Background(), began.Add(c.longest()+lame))
 	defer end()
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,499 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	wire "github.com/apache/thrift/lib/go/thrift"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+// A file has conversations, each under a line of '== NAME', one step a line; '#' begins a comment. They are held over
+// real sockets between the front end under test and scripted clients, workers and a journal service.
+//
+//	worker W [as V]           it listens; as V: at the address of V, which is gone
+//	tell W=STATE ...          the journal service tells an event; the first one is told at the start
+//	feed break|silent|moves   the service breaks off its next answer, says nothing for it, or has a new address that
+//	                          the front end is told of with a reload; bad: the front end is told nonsense
+//	start | stop | left       the front end runs; it is told to leave; it has left
+//	C dials                   a client connects
+//	C rpc N [FIELD=VALUE]...  it sends an RPC numbered N: method query, customer acme, function F, 1000 ms
+//	C takes back N            it sends interrupt
+//	C raw "GO STRING"         it sends these bytes
+//	C < N ok BODY             its next answer is N's: ok with BODY, denied or aborted
+//	C closed                  its connection ends, whatever comes before
+//	W < VERB PATH [H=V]...    a message comes to W on any connection, with these heads; it answers checks by itself
+//	W says "GO STRING"        W writes it where the last message came
+//	W closes|resets           it ends that connection
+//	W gone                    the front end ends the connection of the last message
+//	W nothing MS              no message comes to W for so long
+//	wait MS
+func TestConversations(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no conversations: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, all, _ := strings.Cut("\n"+string(text), "\n== ")
+		for part := range strings.SplitSeq(all, "\n== ") {
+			name, steps, _ := strings.Cut(part, "\n")
+			t.Run(filepath.Base(file)+"/"+name, func(t *testing.T) {
+				goleak.VerifyNone(t, goleak.IgnoreCurrent())
+				before := descriptors(t)
+				s := &stage{t: t, workers: map[string]*worker{}, clients: map[string]*client{}}
+				s.play(steps)
+				s.end()
+				for until := time.Now().Add(patience); descriptors(t) > before && time.Now().Before(until); {
+					time.Sleep(time.Millisecond)
+				}
+				if now := descriptors(t); now > before {
+					t.Errorf("%d descriptors are open, %d were before", now, before)
+				}
+				goleak.VerifyNone(t, goleak.IgnoreCurrent())
+			})
+		}
+	}
+}
+
+// patience is how long a step waits for what must come.
+const patience = 3 * time.Second
+
+func descriptors(t *testing.T) int {
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip(err)
+	}
+	return len(all)
+}
+
+type stage struct {
+	t       *testing.T
+	line    string
+	workers map[string]*worker
+	clients map[string]*client
+	feed    *httptest.Server
+	mu      sync.Mutex
+	events  []any
+	more    chan struct{} // closed with each event
+	mood    string
+	path    string
+	reload  chan os.Signal
+	stop    context.CancelFunc
+	left    chan error
+	listen  string
+}
+
+type message struct {
+	nc   net.Conn
+	head *http.Request
+}
+
+type worker struct {
+	l    net.Listener
+	came chan message
+	last net.Conn
+	mu   sync.Mutex
+	all  []net.Conn
+}
+
+type client struct {
+	nc net.Conn
+	in *bufio.Reader
+}
+
+func (s *stage) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf("line %q: %s", s.line, fmt.Sprintf(format, args...))
+}
+
+func (s *stage) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.fail("%v", err)
+	}
+}
+
+func (s *stage) play(steps string) {
+	s.more = make(chan struct{})
+	s.feed = httptest.NewServer(http.HandlerFunc(s.journal))
+	for line := range strings.SplitSeq(steps, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		if s.line = strings.TrimSpace(line); s.line == "" {
+			continue
+		}
+		words := strings.Fields(s.line)
+		_, text, _ := strings.Cut(s.line, `"`)
+		if text != "" {
+			var err error
+			text, err = strconv.Unquote(`"` + text)
+			s.must(err)
+		}
+		w, c := s.workers[words[0]], s.clients[words[0]]
+		switch {
+		case words[0] == "worker":
+			s.worker(words[1], words[2:])
+		case words[0] == "tell":
+			s.tell(words[1:])
+		case words[0] == "feed":
+			s.turnFeed(words[1])
+		case words[0] == "start":
+			s.start()
+		case words[0] == "stop":
+			s.stop()
+		case words[0] == "left":
+			select {
+			case err := <-s.left:
+				s.must(err)
+				s.left = nil
+			case <-time.After(patience):
+				s.fail("it has not")
+			}
+		case words[0] == "wait":
+			ms, err := strconv.Atoi(words[1])
+			s.must(err)
+			time.Sleep(time.Duration(ms) * time.Millisecond)
+		case words[1] == "dials":
+			nc, err := net.Dial("tcp", s.listen)
+			s.must(err)
+			s.clients[words[0]] = &client{nc, bufio.NewReader(nc)}
+		case c != nil:
+			s.client(c, words[1:], text)
+		case w != nil:
+			s.work(w, words[1:], text)
+		default:
+			s.fail("nobody")
+		}
+	}
+}
+
+func (s *stage) client(c *client, words []string, text string) {
+	var err error
+	switch words[0] {
+	case "rpc":
+		_, err = c.nc.Write(execute(words[1], words[2:]))
+	case "takes":
+		seq, _ := strconv.Atoi(words[2])
+		_, err = c.nc.Write(frame("interrupt", wire.ONEWAY, 99, func(ctx context.Context, w wire.TProtocol) {
+			_ = w.WriteFieldBegin(ctx, "seqid", wire.I32, 1)
+			_ = w.WriteI32(ctx, int32(seq))
+		}))
+	case "raw":
+		_, err = c.nc.Write([]byte(text))
+	case "<":
+		want := strings.Join(words[1:], " ")
+		_ = c.nc.SetReadDeadline(time.Now().Add(patience))
+		if got := answer(c.in); got != want {
+			s.fail("got %q", got)
+		}
+	case "closed":
+		_ = c.nc.SetReadDeadline(time.Now().Add(patience))
+		if _, e := io.Copy(io.Discard, c.in); os.IsTimeout(e) {
+			s.fail("it is open")
+		}
+	default:
+		s.fail("no such step")
+	}
+	s.must(err)
+}
+
+func (s *stage) work(w *worker, words []string, text string) {
+	switch words[0] {
+	case "<":
+		select {
+		case m := <-w.came:
+			if got := m.head.Method + " " + m.head.RequestURI; got != words[1]+" "+words[2] {
+				s.fail("got %s", got)
+			}
+			for _, head := range words[3:] {
+				name, value, _ := strings.Cut(head, "=")
+				if got := m.head.Header.Get(name); got != value {
+					s.fail("%s is %q", name, got)
+				}
+			}
+			w.last = m.nc
+		case <-time.After(patience):
+			s.fail("nothing came")
+		}
+	case "says":
+		_, err := w.last.Write([]byte(text))
+		s.must(err)
+	case "closes":
+		w.last.Close()
+	case "resets":
+		s.must(w.last.(*net.TCPConn).SetLinger(0))
+		w.last.Close()
+	case "gone":
+		for until := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+			if _, err := w.last.Write([]byte(" ")); err != nil {
+				return
+			} else if time.Now().After(until) {
+				s.fail("it stands")
+			}
+		}
+	case "nothing":
+		ms, err := strconv.Atoi(words[1])
+		s.must(err)
+		select {
+		case m := <-w.came:
+			s.fail("got %s %s", m.head.Method, m.head.RequestURI)
+		case <-time.After(time.Duration(ms) * time.Millisecond):
+		}
+	default:
+		s.fail("no such step")
+	}
+}
+
+// worker listens and hands over each message that comes, on whichever connection.
+func (s *stage) worker(name string, as []string) {
+	address := "127.0.0.1:0"
+	if len(as) > 0 {
+		old := s.workers[as[1]]
+		address = old.l.Addr().String()
+		old.close()
+	}
+	l, err := net.Listen("tcp", address)
+	s.must(err)
+	w := &worker{l: l, came: make(chan message, 64)}
+	s.workers[name] = w
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			w.mu.Lock()
+			w.all = append(w.all, nc)
+			w.mu.Unlock()
+			go func() {
+				for in := bufio.NewReader(nc); ; {
+					head, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if _, err = io.Copy(io.Discard, head.Body); err != nil {
+						return
+					}
+					if head.RequestURI == "/-/gauges" {
+						_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nX-Meter: busy:0.1;x0:0.1\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					w.came <- message{nc, head}
+				}
+			}()
+		}
+	}()
+}
+
+func (w *worker) close() {
+	w.l.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, nc := range w.all {
+		nc.Close()
+	}
+}
+
+// tell adds an event.
+func (s *stage) tell(words []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []any
+	for _, word := range words {
+		name, state, _ := strings.Cut(word, "=")
+		list = append(list, map[string]any{"instanceId": name, "hostPort": s.workers[name].l.Addr().String(), "zone": "a",
+			"machineType": "std", "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0})
+	}
+	pos := len(s.events) + 1
+	s.events = append(s.events, map[string]any{"pos": pos, "hosts": map[string]any{"generation": pos, "reset": pos == 1, "instances": list}})
+	close(s.more)
+	s.more = make(chan struct{})
+}
+
+func (s *stage) known(tail int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text, err := json.Marshal(map[string]any{"pos": len(s.events), "entries": s.events[min(tail, len(s.events)):]})
+	s.must(err)
+	return text
+}
+
+func (s *stage) journal(out http.ResponseWriter, in *http.Request) {
+	tail, _ := strconv.Atoi(in.URL.Query().Get("tail"))
+	wait, _ := strconv.Atoi(in.URL.Query().Get("max_wait"))
+	s.mu.Lock()
+	more, none := s.more, tail >= len(s.events)
+	s.mu.Unlock()
+	if none {
+		select {
+		case <-more:
+		case <-in.Context().Done():
+			return
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		}
+	}
+	s.mu.Lock()
+	mood := s.mood
+	s.mood = ""
+	s.mu.Unlock()
+	text := s.known(tail)
+	switch mood {
+	case "break":
+		out.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = out.Write(text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	case "silent":
+		<-in.Context().Done()
+	default:
+		_, _ = out.Write(text)
+	}
+}
+
+func (s *stage) turnFeed(how string) {
+	switch how {
+	case "moves":
+		old := s.feed
+		s.feed = httptest.NewServer(http.HandlerFunc(s.journal))
+		s.configure()
+		s.reload <- syscall.SIGHUP
+		go old.Close()
+	case "bad":
+		s.must(os.WriteFile(s.path, []byte(`{"name":`), 0o600))
+		s.reload <- syscall.SIGHUP
+	default:
+		s.mu.Lock()
+		s.mood = how
+		s.mu.Unlock()
+	}
+}
+
+func (s *stage) configure() {
+	text, err := os.ReadFile("testdata/config.json")
+	s.must(err)
+	text = []byte(strings.NewReplacer("$LISTEN", s.listen, "$JOURNAL", s.feed.Listener.Addr().String(), `"$KNOWN"`,
+		string(s.known(0))).Replace(string(text)))
+	s.must(os.WriteFile(s.path, text, 0o600))
+}
+
+func (s *stage) start() {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	s.listen, s.path = l.Addr().String(), filepath.Join(s.t.TempDir(), "config.json")
+	s.configure()
+	f, c, err := New(s.path, func(string) string { return "" }, zerolog.Nop())
+	s.must(err)
+	if !strings.Contains(s.t.Name(), "leave") { // others need not wait for what the platform still sends
+		f.lame = 0
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop, s.left, s.reload = stop, make(chan error, 1), make(chan os.Signal, 1)
+	left := s.left
+	go func() { left <- f.serve(ctx, l, c, s.reload) }()
+}
+
+func (s *stage) end() {
+	for _, c := range s.clients {
+		c.nc.Close()
+	}
+	if s.stop != nil {
+		s.stop()
+	}
+	if s.left != nil {
+		<-s.left
+	}
+	for _, w := range s.workers {
+		w.close()
+	}
+	s.feed.CloseClientConnections()
+	s.feed.Close()
+}
+
+// frame encodes a message.
+func frame(name string, form wire.TMessageType, seq int32, args func(ctx context.Context, w wire.TProtocol)) []byte {
+	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
+	w := wire.NewTBinaryProtocolConf(buf, nil)
+	_ = w.WriteMessageBegin(ctx, name, form, seq)
+	args(ctx, w)
+	_ = w.WriteFieldStop(ctx)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
+}
+
+func execute(number string, changes []string) []byte {
+	seq, _ := strconv.Atoi(number)
+	fields := map[string]string{"method": "query", "rid": fmt.Sprintf("%016x", seq), "budget": "1000", "acct": "acme",
+		"obj": "00000000000000f1", "facts": "memory_mb:100;lanes:4"}
+	var names []string
+	body := ""
+	for _, change := range changes {
+		name, value, _ := strings.Cut(change, "=")
+		if fields[name] = value; name == "body" {
+			body = value
+			delete(fields, name)
+		} else if value == "" {
+			delete(fields, name)
+		}
+	}
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return frame("execute", wire.CALL, int32(seq), func(ctx context.Context, w wire.TProtocol) {
+		_ = w.WriteFieldBegin(ctx, "fields", wire.MAP, 1)
+		_ = w.WriteMapBegin(ctx, wire.STRING, wire.STRING, len(names))
+		for _, name := range names {
+			_ = w.WriteString(ctx, name)
+			_ = w.WriteString(ctx, fields[name])
+		}
+		_ = w.WriteFieldBegin(ctx, "body", wire.STRING, 2)
+		_ = w.WriteBinary(ctx, []byte(body))
+	})
+}
+
+// answer reads a reply: its number, and ok with its body, denied or aborted.
+func answer(in *bufio.Reader) string {
+	var n uint32
+	if err := binary.Read(in, binary.BigEndian, &n); err != nil {
+		return err.Error()
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(in, text); err != nil {
+		return err.Error()
+	}
+	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
+	buf.Write(text)
+	r := wire.NewTBinaryProtocolConf(buf, nil)
+	_, _, seq, err := r.ReadMessageBegin(ctx)
+	_, _, which, err2 := r.ReadFieldBegin(ctx)
+	if err != nil || err2 != nil {
+		return fmt.Sprint(err, err2)
+	}
+	if which != 0 {
+		return fmt.Sprintf("%d %s", seq, []string{"", "denied", "aborted"}[which])
+	}
+	_, _, _, _ = r.ReadFieldBegin(ctx)
+	body, err := r.ReadString(ctx)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(fmt.Sprintf("%d ok %s", seq, body))
+}
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -113,10 +113,11 @@
 		if err := decode(frame, c); err != nil {
 			return fmt.Errorf("message: %w", err)
 		}
+		if c.strikes.Load() > 0 { // guards the core against clients that send such ones at full speed
+			time.Sleep(strikeRest)
+		}
 		if strikes := c.strikes.Load(); strikes >= strikesMost && c.open.Load() == 0 {
 			return fmt.Errorf("%d messages that can't be served", strikes)
-		} else if strikes > 0 { // guards the core against clients that send such ones at full speed
-			time.Sleep(strikeRest)
 		}
 	}
 }
