Resets count as errors; only a worker that takes no connection counts as restarted

Examined: the exchanges' errors (211 and 373 resets of 4000, 26 dials reset), the view. Excluded: descriptors (95 of 384), core time (0.18). At fault: judge, two resets with no answer between as a restart: with one call-out in ten reset that comes each second. httplink.try: a new connection reset before the message left counted as no connection, though it never ran.

--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -2,7 +2,7 @@
 // Connections belong to a worker's id, never to its address: a new worker may have that of one that is gone.
 //
 // A link tells the engine how each call-out and order ended, and whether that proves that it never ran: what did not
-// leave whole never arrived whole. It sends nothing twice, but for what did not leave on a connection used before.
+// leave whole never arrived whole. It sends nothing twice, but for what did not leave whole.
 package httplink
 
 import (
@@ -31,10 +31,11 @@
 )
 
 const (
-	path     = "/v2/q/"
-	bodyMost = 64 << 10             // of an answer; the protocol's bodies have 16 KiB
-	rest     = 5 * time.Millisecond // a used connection rests: what came behind its answer must not meet the next one
-	look     = time.Second          // how often idle connections are looked at
+	path      = "/v2/q/"
+	bodyMost  = 64 << 10             // of an answer; the protocol's bodies have 16 KiB
+	rest      = 5 * time.Millisecond // a used connection rests: what came behind its answer must not meet the next one
+	connsMost = 3                    // more connections that a message is tried on while it has not left whole
+	look      = time.Second          // how often idle connections are looked at
 )
 
 // Options are the settings of all links of a front end.
@@ -218,7 +219,7 @@
 	return x
 }
 
-// run has the exchange. What did not leave on a connection used before is sent on a new one.
+// run has the exchange. What did not leave whole is sent on a new connection, a few times.
 func (x *exchange) run(conn *hop.Conn) {
 	began := time.Now()
 	a, conn, again, err := x.try(conn)
@@ -250,9 +251,12 @@
 }
 
 func (x *exchange) try(conn *hop.Conn) (a hop.Answer, used *hop.Conn, again bool, err error) {
-	for reused := conn != nil; ; reused = false {
+	for left := connsMost; ; left-- {
 		if conn == nil {
 			conn, err = hop.Dial(x.ctx, x.l.address, min(x.o.ConnectTimeOut, time.Until(x.by)))
+			if errors.Is(err, syscall.ECONNRESET) && left > 0 { // it came up, and broke
+				continue
+			}
 			if err != nil {
 				return a, nil, false, errors.Join(hop.ErrUnsent, err)
 			}
@@ -261,7 +265,7 @@
 			return a, conn, false, hop.ErrUnsent
 		}
 		a, again, err = conn.Exchange(x.message, x.by, bodyMost)
-		if !errors.Is(err, hop.ErrUnsent) || !reused || x.isOver() {
+		if !errors.Is(err, hop.ErrUnsent) || left == 0 || x.isOver() {
 			return a, conn, again, err
 		}
 		conn.Close()
@@ -297,12 +301,12 @@
 func (e end) outcome() router.Outcome {
 	var op net.Error
 	switch {
-	case e.local:
+	case e.local, errors.Is(e.err, hop.ErrUnsent) && errors.Is(e.err, syscall.ECONNRESET): // connections came up, and broke
 		return router.Full
 	case errors.Is(e.err, hop.ErrUnsent):
 		return router.ConnectFailed
-	case errors.Is(e.err, hop.ErrSpoilt):
-		return router.Errored
+	case errors.Is(e.err, hop.ErrSpoilt): // it tells of the way, not of the function; it has run
+		return router.Reset
 	case errors.As(e.err, &op) && op.Timeout():
 		return router.TimedOut
 	case errors.Is(e.err, io.EOF), errors.Is(e.err, syscall.ECONNRESET), errors.Is(e.err, syscall.EPIPE):
--- a/router/router.go
+++ b/router/router.go
@@ -151,7 +151,6 @@
 	ill               string  // symptom, or ""
 	illUntil, illBack Time
 	checking, trial   bool      // a check is out; the next RPC may try it
-	broke             bool      // a connection broke since it was last heard
 	sent              []callOut // while cold
 	util, pinned      float64   // as last reported
 	bound             float64   // RPCs of ours that it is given at once, where its cores leave room for more
@@ -831,7 +830,7 @@
 func (p *RPC) judge(c *callOut, o Outcome, warmth Warmth, crowd int, took Time) {
 	r, w, fn, in := p.r, c.w, p.fn, c.in
 	if o == OK || o == Errored || o == Missed || o == Full {
-		w.heard, w.broke = r.now, false
+		w.heard = r.now
 	}
 	switch o {
 	case OK:
@@ -878,15 +877,14 @@
 			delete(w.holds, fn.id)
 			r.tokens += r.real // it never began
 		}
-	case ConnectFailed, Reset:
-		if o == Reset && !w.broke { // one may break alone; a process that ends breaks all and refuses new ones
-			if w.broke = true; in.loading && in.active == 0 {
-				delete(w.holds, fn.id)
-			}
-			break
+	case Reset: // a connection may break alone; a process that ends refuses new ones, too
+		in.loading = false
+		if w.errors += (1 - w.errors) / 8; w.errors > errorsIll {
+			w.sicken(r, "broken connections", w.errors)
 		}
+	case ConnectFailed:
 		w.restart(r.now)
-		w.sicken(r, "broken connections", float64(w.active))
+		w.sicken(r, "no connection", float64(w.active))
 	case TimedOut, CalledOff, Moot:
 		if !c.cold && !c.retracted && o == TimedOut {
 			r.eased(false)
