Turns on the platform begin as far apart as the settings' tick

Examined: CPU profile, 48% in Router.Settle, 35% in place: each event had a turn of its own, and each turn looks through the queue. Excluded: descriptors, memory, the debug log (with it worse still). Now a turn begins 2 ms (tickNs) after the last at the least, as in the simulator, and brings what came meanwhile.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -119,7 +119,7 @@
 		return errors.New(`"settings": no methods`)
 	}
 	for i, name := range names {
-		num := func(what string) float64 { v, _ := c.Module[terms.At(terms.Methods, i, what)].(float64); return v }
+		num := func(what string) float64 { return c.number(terms.At(terms.Methods, i, what)) }
 		word := func(what string) string { v, _ := c.Module[terms.At(terms.Methods, i, what)].(string); return v }
 		m := engine.Method{Name: name, Effect: word(terms.Effect), Group: word(terms.Group), Gain: num(terms.Gain),
 			Soft: router.Time(num(terms.SoftDeadline)), Deadline: router.Time(num(terms.Deadline)), Batch: 1}
@@ -129,17 +129,18 @@
 		c.Methods = append(c.Methods, m)
 	}
 	values := terms.Path(terms.Report, terms.Values)
-	n, _ := c.Module[values].(float64)
-	for i := range int(n) {
+	for i := range int(c.number(values)) {
 		word, _ := c.Module[terms.At(values, i, "")].(string)
 		c.Values = append(c.Values, word)
 	}
 	return nil
 }
 
+func (c *Config) number(name string) float64 { v, _ := c.Module[name].(float64); return v }
+
 // span reads a time of the settings.
 func (c *Config) span(level, name string, or time.Duration) time.Duration {
-	if v, told := c.Module[terms.Path(level, name)].(float64); told && v > 0 {
+	if v := c.number(terms.Path(level, name)); v > 0 {
 		return turn.Duration(router.Time(v))
 	}
 	return or
@@ -156,8 +157,7 @@
 // memoryMost is the memory of the largest kind of worker, in MB.
 func (c *Config) memoryMost() (most float64) {
 	for i := range c.Kinds {
-		mb, _ := c.Module[terms.At(terms.Path(terms.Functions, terms.Memory), i, "")].(float64)
-		most = max(most, mb)
+		most = max(most, c.number(terms.At(terms.Path(terms.Functions, terms.Memory), i, "")))
 	}
 	return most
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -94,6 +94,7 @@
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: turn.NewLoop(),
 		lame: lame, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
+	f.loop.Pace(turn.Duration(router.Time(c.number(terms.Tick)))) // as the module is driven elsewhere
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	c.Module[terms.List] = terms.Pushed
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -114,11 +114,16 @@
 	queue []func()
 	over  bool
 	wake  chan struct{}
+	pace  time.Duration
 }
 
 // NewLoop starts the loop's clock.
 func NewLoop() *Loop { return &Loop{start: time.Now(), wake: make(chan struct{}, 1)} }
 
+// Pace has turns begin so far apart at the least: under load each turn then brings more events, and what a turn costs
+// by itself is paid less often. Call it before Run.
+func (l *Loop) Pace(d time.Duration) { l.pace = d }
+
 // Now reads the loop's clock; any goroutine may.
 func (l *Loop) Now() router.Time { return epoch + Span(time.Since(l.start)) }
 
@@ -147,7 +152,12 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var spare []func()
+	var last time.Time
 	for {
+		if wait := l.pace - time.Since(last); wait > 0 && !last.IsZero() {
+			time.Sleep(wait)
+		}
+		last = time.Now()
 		l.mu.Lock()
 		batch := l.queue
 		l.queue = spare[:0]
