--- a/router/router.go
+++ b/router/router.go
@@ -415,7 +415,7 @@
 // place is the ordinary path: a warm instance with room, else a load. It tells whether the RPC went out.
 func (p *RPC) place() bool {
 	r := p.r
-	if p.spent() || p.flooded() {
+	if p.spent() {
 		return false
 	}
 	var best, joining *worker
@@ -460,12 +460,11 @@
 	return !roomy && !asking && p.load(count)
 }
 
-// flooded guards workers against many front ends that each send little: our RPCs out, loads waited for aside,
-// have reached our share of fleetBusy for each worker that takes any.
-func (p *RPC) flooded() bool {
-	r := p.r
+// spare guards workers against many front ends that each send little: RPCs that may go out before ours out, loads
+// waited for aside, reach our share of fleetBusy for each worker that takes any.
+func (r *Router) spare(late bool) int {
 	well, all, ease := 0.0, r.frontEnds(), r.ease
-	if p.worth() < p.gain {
+	if late {
 		ease = lateEase
 	}
 	for _, w := range r.list {
@@ -479,7 +478,7 @@
 			most--
 		}
 	}
-	return most <= 0
+	return most
 }
 
 // eased learns from a warm answer how much more than our even share of the fleet we may use.
@@ -669,12 +668,15 @@
 // open: the worker is not full, nor holds our share of RPCs; those that wait for a load don't count.
 func (r *Router) open(w *worker) bool {
 	room := int(max(2, workerBusy/r.frontEnds(), w.bound)) - w.active
+	if r.now < w.fullUntil || room > 0 {
+		return r.now >= w.fullUntil
+	}
 	for _, in := range w.holds {
 		if in.loading {
 			room += in.active
 		}
 	}
-	return r.now >= w.fullUntil && room > 0
+	return room > 0
 }
 
 // spent: the RPC has had all the call-outs that the settings allow.
@@ -1170,8 +1172,14 @@
 		return cmp.Or(cmp.Compare(b.worth(), a.worth()), cmp.Compare(a.at, b.at))
 	})
 	stuck := map[*function]bool{}
+	spare := map[bool]int{false: r.spare(false), true: r.spare(true)} // for RPCs that are late, and for others
 	for _, p := range queue {
-		if p.queued && !stuck[p.fn] && !p.place() {
+		if late := p.worth() < p.gain; !p.queued || stuck[p.fn] || spare[late] <= 0 {
+			continue
+		}
+		if p.place() {
+			spare[false], spare[true] = r.spare(false), r.spare(true)
+		} else {
 			stuck[p.fn] = len(p.calls) == 0 && p.timeToLoad() // else others may go where it may not
 		}
 	}
