RPCs and orders whose connection broke are sent again at once

Examined: 10% of exchanges reset; most functions have one copy here, and an RPC keeps away from a worker for a second after a call-out there; a load order whose connection broke stops its function's loads for a second.

--- a/router/router.go
+++ b/router/router.go
@@ -163,6 +163,7 @@
 	at                    Time
 	cost                  float64
 	done, retracted, cold bool // cold: it began or joined a load
+	broke                 bool // its connection did: that tells nothing of the worker's way with this RPC
 }
 
 // RPC is the handle of one RPC.
@@ -374,7 +375,7 @@
 	fn.lanes = max(lanes, 1)
 	p := &RPC{r: r, id: id, m: r.methods[m], fn: fn, at: now, late: now, end: now + budget, size: 1}
 	p.gain, p.repeat = p.m.gain, repeat
-	if repeat && p.m.deadline > 0 { // its client's time runs from the first try: the budget tells what is left of it
+	if repeat && p.m.deadline > 0 { // the deadline runs from the first try: the budget tells what is left of it
 		p.late += p.m.soft - max(0, p.m.deadline-budget)
 	} else if !repeat {
 		p.late, p.m.most = p.late+p.m.soft, max(p.m.most, budget) // a marked one's budget may be longer
@@ -460,8 +461,8 @@
 	return !roomy && !asking && p.load(count)
 }
 
-// spare guards workers against many front ends that each send little: RPCs that may go out before ours out, loads
-// waited for aside, reach our share of fleetBusy for each worker that takes any.
+// spare guards workers against many front ends that each send little: RPCs that may go out before ours out,
+// loads waited for aside, reach our share of fleetBusy for each worker that takes any.
 func (r *Router) spare(late bool) int {
 	well, all, ease := 0.0, r.frontEnds(), r.ease
 	if late {
@@ -658,7 +659,7 @@
 		return false
 	}
 	for _, c := range p.calls {
-		if c.w == w && r.now-c.at < sec {
+		if c.w == w && !c.broke && r.now-c.at < sec {
 			return false
 		}
 	}
@@ -880,7 +881,7 @@
 			r.tokens += r.real // it never began
 		}
 	case Reset: // a connection may break alone; a process that ends refuses new ones, too
-		in.loading = false
+		in.loading, c.broke = false, true
 		if w.errors += (1 - w.errors) / 8; w.errors > errorsIll {
 			w.sicken(r, "broken connections", w.errors)
 		}
@@ -992,6 +993,9 @@
 	}
 	switch {
 	case copies == 0 && !in.ordered: // a late answer to a question
+	case o == Reset && !in.lost(fn, now) && w.state == Ready && r.mayOrder(): // it stands, but nobody would tell
+		r.orders = append(r.orders, now)
+		r.port.Hold(id, fid, 1)
 	case o == OK || copies > 0:
 		in.copies, in.lastUse, in.ordered = max(copies, 1), now, false
 		w.heard = now
