A function never loaded is taken to load like others did, not for a second

Examined: a line for each RPC given up (instances, time left, load's guess): guess 1 s, time left 650 ms, the first look spent on asking homes. Excluded: the caps, the store's share, load errors. At fault: priorLoad, a second whatever the deployment's deadlines are; timeToLoad then never let a second look load. Now the mean of loads seen, before any a second or the soft deadline, whichever is less.

--- a/router/router.go
+++ b/router/router.go
@@ -29,7 +29,7 @@
 	loadErrors  = 3        // load errors in a row that halt a function (design)
 	loadBackMin = sec      // first backoff of loads, doubling (design: 1 s)
 	loadBackMax = 10 * sec // last one (design: 10 s)
-	priorLoad   = sec      // a load's time before any was seen or told
+	priorLoad   = sec      // a load's time before any was seen or told, a soft deadline at the most
 	priorWork   = sec / 10 // an RPC's time on a warm instance before any was seen
 	illBackMin  = sec      // first pause of a worker found ill, doubling
 	illBackMax  = 8 * sec  // last one
@@ -89,7 +89,7 @@
 	tokensAt        Time
 	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
 	slow, real      float64            // workers' median slowness, 1 or more; part of loads that found no copy
-	asked           float64            // work of RPCs taken lately
+	asked, load     float64            // work of RPCs taken lately; mean time of loads, 0 before any was seen
 	ease            float64            // how many times our even share of the fleet we may use
 	near, allIll    bool               // loads stay in the zone; health is ignored
 	dirty, beats    bool               // settling is due, with housekeeping
@@ -367,8 +367,8 @@
 	r.now, r.dirty = now, true
 	fn := r.fns[fid]
 	if fn == nil {
-		fn = &function{id: fid, load: float64(cmp.Or(load, priorLoad)), work: r.methods[m].work,
-			backoff: loadBackMin}
+		fn = &function{id: fid, load: cmp.Or(float64(load), r.load, float64(min(priorLoad, r.methods[m].soft))),
+			work: r.methods[m].work, backoff: loadBackMin}
 		r.fns[fid] = fn
 		r.seen += memory
 	}
@@ -925,6 +925,8 @@
 		r.room = max(r.room0/8, r.room*0.8)
 	}
 	fn.load += (min(took, 3*fn.load) - fn.load) / 4
+	r.load = cmp.Or(r.load, took)
+	r.load += (min(took, 3*r.load) - r.load) / 16
 }
 
 // Halted tells whether loads of the function are halted and no copy of it is believed to stand.
