Another copy is loaded on idle cores where the only copy's worker has our share

Examined: the line for each RPC given up; other workers reported 26 to 45% busy. At fault: place, no load beside free lanes whatever the other workers' cores do.

--- a/router/router.go
+++ b/router/router.go
@@ -420,13 +420,13 @@
 		return false
 	}
 	var best, joining *worker
-	count, roomy, asking := 0, false, false
+	count, roomy, asking, loading := 0, false, false, false
 	for _, w := range r.list {
 		in := w.holds[p.fn.id]
 		if in == nil || !p.allowed(w) {
 			continue
 		}
-		asking = asking || in.asked
+		asking, loading = asking || in.asked, loading || in.loading
 		count += in.copies
 		if in.asked || in.lost(p.fn, r.now) || !in.hasRoom(p.fn, r.now) {
 			continue
@@ -457,8 +457,7 @@
 		p.send(best)
 		return true
 	}
-	// Exception: lanes stand free at a worker that holds our share; another copy would not help.
-	return !roomy && !asking && p.load(count)
+	return !asking && !(roomy && loading) && p.load(count, roomy)
 }
 
 // spare guards workers against many front ends that each send little: RPCs that may go out before ours out,
@@ -543,7 +542,8 @@
 
 // load starts a load under the caps. Where orders are allowed and the ration has room it is ordered, and the
 // RPC waits for whichever copy is free first; else the RPC goes to the loading worker at once.
-func (p *RPC) load(count int) bool {
+// Exception: where lanes stand free at a worker that holds our share, another copy helps only on idle cores.
+func (p *RPC) load(count int, roomy bool) bool {
 	r, fn := p.r, p.fn
 	need := max(fn.recent(r.now), float64(fn.out+1))
 	limit := min(math.Ceil(need/float64(fn.lanes)), max(fnCap, need))
@@ -556,7 +556,8 @@
 		return false
 	}
 	homes := p.homes()
-	if len(homes) == 0 {
+	told := r.set.num("report.values.util", -1) >= 0
+	if len(homes) == 0 || roomy && !(told && homes[0].util < idleUtil) {
 		return false
 	}
 	// Exception: where it may, it first asks the first homes for copies that others brought there.
