Read-over: the list's form and the share of descriptors are told in one place

The list's form was set at the start and again at each reload, the half of the descriptors counted twice, and the debug log's state asked by making an event.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -109,6 +109,7 @@
 		return nil, errors.New(`"settings" is missing`)
 	}
 	c.Module = site.Flat(settings)
+	c.Module[terms.List] = terms.Pushed // the journal service's events come by themselves
 	c.Customers, c.Zones, c.Kinds = site.Names(settings, "customers"), site.Names(settings, "localities"), site.Names(settings, "models")
 	return c, c.readMethods(site.Names(settings, "grades"))
 }
@@ -146,6 +147,9 @@
 	return or
 }
 
+// connections is the half of the descriptors that is the clients', and the workers' other half.
+func (c *Config) connections() int { return (c.Sockets - ownFiles) / 2 }
+
 // longest is the longest deadline of a method.
 func (c *Config) longest() (most time.Duration) {
 	for _, m := range c.Methods {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,12 +96,11 @@
 		lame: lame, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
 	f.loop.Pace(turn.Duration(router.Time(c.number(terms.Tick)))) // as the module is driven elsewhere
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
-	c.Module[terms.List] = terms.Pushed
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
 		Log: func(text string) { f.log.Info().Str("from", "module").Msg(text) }})
 	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
 	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
-	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Connections: (c.Sockets - ownFiles) / 2, Ready: f.ready.Load,
+	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Connections: c.connections(), Ready: f.ready.Load,
 		MemoryMost: c.memoryMost(), Log: f.log})
 	f.feed = feed.New(c.Journal, f.listed, f.log)
 	return f, c, nil
@@ -111,7 +110,7 @@
 	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
 		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
 		Idle:         c.span(terms.May, terms.IdleClose, 10*time.Second),
-		Connections:  (c.Sockets - ownFiles) / 2, Values: c.Values, Log: f.log}
+		Connections:  c.connections(), Values: c.Values, Log: f.log}
 }
 
 // Serve runs a front end until the context ends, and then goes on as before for a while, answers what it holds, and
@@ -146,7 +145,7 @@
 	f.log.Info().Str("listen", l.Addr().String()).Float64("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).
 		Msg("front end takes RPCs")
 
-	if f.log.Debug() != nil {
+	if f.log.GetLevel() <= zerolog.DebugLevel {
 		restGroup.Go(func() error { f.compare(rest); return nil })
 	}
 	for going := true; going; {
@@ -202,7 +201,6 @@
 		return
 	}
 	*now = c
-	c.Module[terms.List] = terms.Pushed
 	f.feed.Move(c.Journal)
 	service, prepared, links := c.service(), router.Prepare(c.Module), f.linkOptions(c)
 	f.loop.Post(func() {
