Places where two events cross: late connections, idle closes, SIGTERM, discovery, reloads

Cause, from reading: (1) httplink gave up neither a dial nor its further connections when the list told of a drain, and nothing could call off an order or a check: httplink.go, exchange.try and Unwant. A client that left while its dial was under way ended as 'no connection', from which the module inferred a restart of the worker. (2) strikeRest slept through a client's close. (3) makeRoom and CloseIdle read 'open' and closed without excluding a message that was being read. (4) serve slept through lame: a SIGHUP waited, the listener's backlog was reset, and Wait ran up to the kill. (5) the feed asked the same for ever after a gap, each event had a turn of its own, an answer read after a move counted, and answers later than 0.3 s beyond the wait never got through. (6) a taken address ended the process; check was good without any list. (7) closed connections whose descriptors still stood were not counted. (11) Renew left out the clients' bounds and the pace, and settings of another shape were refused, with them the new discovery address.

Now: exchange.begin asks under one lock, last before the first byte; conn.closeIdle decides under the lock that a reader takes before it reads; leave() goes on with reloads and the list, takes the backlog, and answers all 0.1 s before the kill (Engine.AnswerAll); answers of the service are taken over in one turn; places are kept by name (site.KeepPlaces).

--- a/cmd/mallowlanding/main.go
+++ b/cmd/mallowlanding/main.go
@@ -131,8 +131,9 @@
 
 // Run runs a front end on the platform.
 func (c *platformCmd) Run(e *env) error {
-	reload := make(chan os.Signal, 1)
+	reload, again := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Notify(again, syscall.SIGTERM) // told twice to leave it still answers what it holds
 	err := platform.Serve(e.ctx, os.Getenv("BALANCER_CONFIG"), reload, e.log)
 	if errors.As(err, &platform.BadConfig{}) {
 		return misuse{err}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"mallowlanding/internal/core"
 	"mallowlanding/internal/ident"
@@ -303,6 +305,16 @@
 	}
 }
 
+// AnswerAll gives every RPC that is open its one answer now, and calls off what is out: the process is about to end.
+func (e *Engine) AnswerAll() {
+	for _, id := range slices.Sorted(maps.Keys(e.rpcs)) {
+		p := e.rpcs[id]
+		if p.Cancel(); !p.closed {
+			p.settle(p.leave.Overdue())
+		}
+	}
+}
+
 // MayDeny tells whether a client that stops waiting while the RPC goes on may be told that a retry is harmless.
 func (p *RPC) MayDeny() bool { return p.leave.Overdue() == leave.Deny }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,8 +5,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -19,10 +22,12 @@
 
 const (
 	wait      = time.Second            // how long the service may hold an ask; silence is noticed soon after
-	slack     = 300 * time.Millisecond // for the answer's way, beyond the wait
+	slackMin  = 300 * time.Millisecond // for a connection, and for the answer's way beyond the wait; doubling while
+	slackMost = 3 * time.Second        // answers are late: a service that is slow each time must get through at last
 	pauseMin  = 10 * time.Millisecond  // before asking again after a break, doubling
 	pauseMost = 200 * time.Millisecond // last one
 	bodyMost  = 4 << 20                // of one answer
+	gapsMost  = 2                      // times that a gap in the numbers is asked about
 )
 
 // Worker is an entry of an event, as it goes to the list.
@@ -34,14 +39,25 @@
 	Cell          int
 }
 
-// List takes events over. It is called from one goroutine at a time, with whole and valid events alone, in their order.
-type List func(form router.ListForm, pos uint64, workers []Worker)
+// Event is one change of the list of workers, or a whole list.
+type Event struct {
+	Form    router.ListForm
+	Pos     uint64
+	Workers []Worker
+}
+
+// List takes over what one answer told: events that are whole and valid alone, in their order, or none. It is called from
+// one goroutine at a time.
+type List func(events []Event)
 
 // Feed follows one journal service after the other.
 type Feed struct {
 	list List
 	log  zerolog.Logger
 	pos  uint64 // the last event that counted
+	gaps int    // answers in a row that left events out
+
+	slack time.Duration
 
 	mu      sync.Mutex
 	address string
@@ -50,7 +66,7 @@
 
 // New follows the service at an address once it runs.
 func New(address string, list List, log zerolog.Logger) *Feed {
-	return &Feed{address: address, list: list, log: log}
+	return &Feed{address: address, list: list, log: log, slack: slackMin}
 }
 
 // Move follows the service at another address from now on; the numbers go on.
@@ -106,28 +122,44 @@
 	f.mu.Lock()
 	conn, address := f.conn, f.address
 	f.mu.Unlock()
-	if conn == nil || !conn.Clean() {
+	if conn != nil && !conn.Clean() {
+		f.drop(conn)
+		conn = nil
+	}
+	if conn == nil {
 		var err error
-		if conn, err = hop.Dial(ctx, address, slack); err != nil {
+		if conn, err = hop.Dial(ctx, address, slackMin); err != nil {
 			return err
 		}
 		f.mu.Lock()
-		moved := f.address != address
 		f.conn = conn
 		f.mu.Unlock()
-		if moved {
+		if f.moved(address) {
 			f.drop(conn)
 			return nil
 		}
 	}
-	b := strconv.AppendUint([]byte("GET /journal?tail="), f.pos, 10)
+	tail := f.pos
+	if f.gaps > 0 { // what was left out is told again with all that came before it
+		tail = 0
+	}
+	b := strconv.AppendUint([]byte("GET /journal?tail="), tail, 10)
 	b = strconv.AppendInt(append(b, "&max_wait="...), wait.Milliseconds(), 10)
 	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), address...), "\r\n\r\n"...)
 	began := time.Now()
-	a, again, err := conn.Exchange(b, began.Add(wait+slack), bodyMost)
+	a, again, err := conn.Exchange(b, began.Add(wait+f.slack), bodyMost)
 	if err == nil && a.Status != http.StatusOK {
 		err = fmt.Errorf("status %d", a.Status)
 	}
+	if f.moved(address) { // what the old service still told is told again by the new one
+		f.drop(conn)
+		return nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		f.slack = min(2*f.slack, slackMost)
+	} else if err == nil {
+		f.slack = slackMin
+	}
 	was := f.pos
 	if err == nil {
 		err = f.Apply(a.Body)
@@ -141,6 +173,13 @@
 	return err
 }
 
+// moved tells whether another service is followed by now than that at an address.
+func (f *Feed) moved(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.address != address
+}
+
 func (f *Feed) drop(conn *hop.Conn) {
 	conn.Close()
 	f.mu.Lock()
@@ -151,7 +190,8 @@
 }
 
 // Apply takes over what an answer, or the configuration, tells: nothing of it where it is not valid as a whole. What
-// is known by its number is passed over.
+// is known by its number is passed over. After a gap in the numbers all was asked for anew: then all of it counts as one
+// whole list, and if the gap is there still, what comes behind it counts, too: a drain told there is better known.
 func (f *Feed) Apply(text []byte) error {
 	var all map[string]any
 	if err := json.Unmarshal(text, &all); err != nil {
@@ -161,17 +201,16 @@
 	if !is {
 		return fmt.Errorf(`journal: "entries" is missing`)
 	}
-	type event struct {
-		form    router.ListForm
-		pos     uint64
-		workers []Worker
-	}
-	var events []event
+	anew := f.gaps > 0
+	var events []Event
 	last := f.pos
+	if anew {
+		last = 0
+	}
 	for i, e := range entries {
 		entry, _ := e.(map[string]any)
 		pos, is := entry["pos"].(float64)
-		if !is || pos < 1 {
+		if !is || pos < 1 || pos != math.Trunc(pos) || pos > 1<<53 {
 			return fmt.Errorf(`journal: entry %d: "pos" is missing`, i)
 		}
 		if uint64(pos) <= last {
@@ -185,7 +224,8 @@
 		form := router.Changes
 		if whole, _ := hosts["reset"].(bool); whole {
 			form = router.Whole
-		} else if uint64(pos) != last+1 {
+		} else if uint64(pos) != last+1 && f.gaps < gapsMost {
+			f.gaps++
 			return fmt.Errorf("journal: entry %d: event %d follows event %d", i, uint64(pos), last)
 		}
 		workers, err := f.workers(hosts["instances"])
@@ -193,15 +233,47 @@
 			return fmt.Errorf("journal: entry %d: %w", i, err)
 		}
 		last = uint64(pos)
-		events = append(events, event{form, last, workers})
+		events = append(events, Event{form, last, workers})
 	}
-	for _, e := range events {
-		f.list(e.form, e.pos, e.workers)
+	if anew {
+		events = fold(events)
+	}
+	if anew && last < f.pos { // it told less than is known: the gap may be told later
+		return fmt.Errorf("journal: events up to %d are told, %d are known", last, f.pos)
 	}
-	f.pos = last
+	f.list(events)
+	f.pos, f.gaps = last, 0
 	return nil
 }
 
+// fold makes one event of many: a replay from the start must not bring back, even for a moment, what is gone.
+func fold(events []Event) []Event {
+	if len(events) == 0 {
+		return nil
+	}
+	out := Event{Form: router.Changes, Pos: events[len(events)-1].Pos}
+	at := map[string]int{}
+	for _, e := range events {
+		if e.Form == router.Whole {
+			out.Form, out.Workers = router.Whole, nil
+			clear(at)
+		}
+		for _, w := range e.Workers {
+			i, known := at[w.Name]
+			if !known {
+				at[w.Name] = len(out.Workers)
+				out.Workers = append(out.Workers, w)
+				continue
+			}
+			if w.Address == "" {
+				w.Address = out.Workers[i].Address
+			}
+			out.Workers[i] = w
+		}
+	}
+	return []Event{out}
+}
+
 // workers reads a list of instances; one of a state that is unknown is left out.
 func (f *Feed) workers(instances any) (out []Worker, err error) {
 	list, _ := instances.([]any)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -80,14 +80,36 @@
 	return err == nil && clean
 }
 
-// Exchange sends a message and reads its answer, whose body has bodyMost bytes at most. After an error the connection
-// is of no further use; again tells whether it is after an answer.
+// Offer writes what the socket takes of a message at once and tells how many bytes that were. It doesn't wait, so that
+// it may be called under a lock. Exchange has to follow with the rest, also where none is left.
+func (c *Conn) Offer(message []byte, by time.Time) (n int, err error) {
+	if err := c.nc.SetDeadline(by); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
+	var fault error
+	err = c.raw.Write(func(fd uintptr) bool {
+		n, fault = unix.Write(int(fd), message)
+		return true
+	})
+	if fault == unix.EAGAIN || fault == unix.EINTR {
+		fault = nil
+	}
+	if err = errors.Join(err, fault); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnsent, err)
+	}
+	return max(n, 0), nil
+}
+
+// Exchange sends a message, or what Offer left of it, and reads its answer, whose body has bodyMost bytes at most. After
+// an error the connection is of no further use; again tells whether it is after an answer.
 func (c *Conn) Exchange(message []byte, by time.Time, bodyMost int64) (a Answer, again bool, err error) {
 	if err := c.nc.SetDeadline(by); err != nil {
 		return a, false, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	if _, err := c.nc.Write(message); err != nil {
-		return a, false, fmt.Errorf("%w: %w", ErrUnsent, err)
+	if len(message) > 0 {
+		if _, err := c.nc.Write(message); err != nil {
+			return a, false, fmt.Errorf("%w: %w", ErrUnsent, err)
+		}
 	}
 	var resp *http.Response
 	for i := 0; ; i++ {
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -71,6 +71,7 @@
 	id      router.WorkerID
 	idle    []idle
 	out     map[engine.CallOutID]*exchange
+	all     map[*exchange]bool // call-outs, orders and checks that have not ended
 	gone    bool
 }
 
@@ -86,16 +87,21 @@
 		return
 	}
 	s.Unwant(name)
-	l = &Link{s: s, name: name, address: address, id: id, out: map[engine.CallOutID]*exchange{}}
+	l = &Link{s: s, name: name, address: address, id: id, out: map[engine.CallOutID]*exchange{},
+		all: map[*exchange]bool{}}
 	s.links[name] = l
 	s.engine.Connect(name, l)
 }
 
-// Unwant lets go of a link: nothing more is sent on it; what is out may still end, or be called off.
+// Unwant lets go of a link: nothing more is sent on it; what is out may still end, or be called off. What waits for its
+// connection is given up: one that came up late would carry an RPC or an order past the grace of the worker's drain.
 func (s *Set) Unwant(name string) {
 	if l := s.links[name]; l != nil {
 		l.gone = true
 		delete(s.links, name)
+		for x := range l.all {
+			x.unwant()
+		}
 		l.closeIdle(time.Now())
 	}
 }
@@ -191,16 +197,18 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu   sync.Mutex
-	conn *hop.Conn
-	over bool // given up
+	// The last question before the first byte goes out, and the answers to it: see begin.
+	mu    sync.Mutex
+	conn  *hop.Conn
+	begun bool // a first byte was offered
+	over  bool // nobody waits for it any more, or it must not begin
 }
 
 // end is how an exchange ended; Err nil: with an answer.
 type end struct {
 	hop.Answer
 	err   error
-	local bool // it never left: for lack of descriptors here, or because the worker is gone
+	local bool // it never left: for lack of descriptors here, because the worker is gone, or nobody waited any more
 }
 
 // start sends a message on a connection of its own.
@@ -215,6 +223,7 @@
 		}
 		l.s.conns++
 	}
+	l.all[x] = true
 	go x.run(conn)
 	return x
 }
@@ -227,6 +236,9 @@
 	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
 		e.local = true
 	}
+	if errors.Is(err, errUnwanted) { // it tells nothing of the worker
+		e.local = true
+	}
 	if err != nil && conn != nil {
 		conn.Close()
 	}
@@ -238,6 +250,7 @@
 	}
 	x.l.s.loop.Post(func() {
 		l := x.l
+		delete(l.all, x)
 		if err == nil && again && !l.gone {
 			l.idle = append(l.idle, idle{conn, time.Now()})
 		} else {
@@ -250,6 +263,9 @@
 	})
 }
 
+// errUnwanted: the exchange was given up before its first byte went out.
+var errUnwanted = errors.New("given up before it began")
+
 func (x *exchange) try(conn *hop.Conn) (a hop.Answer, used *hop.Conn, again bool, err error) {
 	for left := connsMost; ; left-- {
 		if conn == nil {
@@ -257,15 +273,18 @@
 			if errors.Is(err, syscall.ECONNRESET) && left > 0 { // it came up, and broke
 				continue
 			}
+			if err != nil && x.ctx.Err() != nil {
+				err = errors.Join(errUnwanted, err)
+			}
 			if err != nil {
 				return a, nil, false, errors.Join(hop.ErrUnsent, err)
 			}
 		}
-		if !x.holds(conn) {
-			return a, conn, false, hop.ErrUnsent
+		var n int
+		if n, err = x.begin(conn); err == nil {
+			a, again, err = conn.Exchange(x.message[n:], x.by, bodyMost)
 		}
-		a, again, err = conn.Exchange(x.message, x.by, bodyMost)
-		if !errors.Is(err, hop.ErrUnsent) || left == 0 || x.isOver() {
+		if !errors.Is(err, hop.ErrUnsent) || errors.Is(err, errUnwanted) || left == 0 {
 			return a, conn, again, err
 		}
 		conn.Close()
@@ -273,21 +292,22 @@
 	}
 }
 
-// holds notes the connection to close if the exchange is given up; false: it was, before anything was sent.
-func (x *exchange) holds(c *hop.Conn) bool {
+// begin is the one place where a message's first byte goes out. It asks for the last time whether it still may: its
+// worker still wanted, its client still there, its time not up. Unwant and giving up take the same lock: either they come
+// first and nothing is sent, or the message had begun before them. It guards against connections that come up late, when
+// the worker drains or the client has gone meanwhile.
+func (x *exchange) begin(c *hop.Conn) (n int, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn = c
-	return !x.over
-}
-
-func (x *exchange) isOver() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.over
+	if x.over || !time.Now().Before(x.by) {
+		return 0, errors.Join(hop.ErrUnsent, errUnwanted)
+	}
+	x.begun = true
+	return c.Offer(x.message, x.by)
 }
 
-// giveUp closes the connection: that is how a worker is told.
+// giveUp closes the connection: that is how a worker is told. Nothing begins any more.
 func (x *exchange) giveUp() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -297,6 +317,15 @@
 	x.cancel()
 }
 
+// unwant gives up what has not begun; what has may still be answered, but is not tried on another connection.
+func (x *exchange) unwant() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.over = true; !x.begun {
+		x.cancel()
+	}
+}
+
 // outcome is what an end without an answer proves.
 func (e end) outcome() router.Outcome {
 	var op net.Error
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +17,7 @@
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/site"
 	"mallowlanding/internal/terms"
+	"mallowlanding/internal/thrift"
 	"mallowlanding/internal/turn"
 	"mallowlanding/router"
 )
@@ -32,6 +34,8 @@
 	Customers             []string
 	Zones, Kinds          []string
 	Values                []string // of a load report, by place
+
+	settings map[string]any // as read
 }
 
 // Bounds of what a front end can run with.
@@ -108,10 +112,83 @@
 	case settings == nil:
 		return nil, errors.New(`"settings" is missing`)
 	}
-	c.Module = site.Flat(settings)
+	c.settings = settings
+	return c, c.take(nil)
+}
+
+// take reads the settings. Gone are the places of methods and customers that were removed, by list and place.
+func (c *Config) take(gone map[string]map[int]bool) error {
+	for _, list := range site.Lists {
+		if twice, is := firstTwice(site.Names(c.settings, list)); is {
+			return fmt.Errorf(`"settings": %q: %q stands twice`, list, twice)
+		}
+	}
+	c.Module = site.Flat(c.settings)
 	c.Module[terms.List] = terms.Pushed // the journal service's events come by themselves
-	c.Customers, c.Zones, c.Kinds = site.Names(settings, "customers"), site.Names(settings, "localities"), site.Names(settings, "models")
-	return c, c.readMethods(site.Names(settings, "grades"))
+	c.Customers, c.Zones, c.Kinds = site.Names(c.settings, site.Customers), site.Names(c.settings, site.Zones), site.Names(c.settings, site.Kinds)
+	for i := range gone[site.Customers] {
+		c.Customers[i] = ""
+	}
+	if c.Methods = nil; len(c.Values) > 0 {
+		c.Values = nil
+	}
+	if err := c.readMethods(site.Names(c.settings, site.Methods)); err != nil {
+		return err
+	}
+	for i := range gone[site.Methods] {
+		c.Methods[i].Gone = true
+	}
+	return nil
+}
+
+// keepPlaces puts what the settings list by place where the configuration before had it: RPCs that are open, and
+// workers, go by places. What is gone keeps its place and what it was; what is new comes behind.
+func (c *Config) keepPlaces(was *Config) error {
+	settings, gone := site.KeepPlaces(c.settings, was.settings)
+	c.settings = settings
+	return c.take(gone)
+}
+
+// firstTwice is the first name that stands twice in a list.
+func firstTwice(names []string) (string, bool) {
+	seen := map[string]bool{}
+	for _, name := range names {
+		if seen[name] {
+			return name, true
+		}
+		seen[name] = true
+	}
+	return "", false
+}
+
+// readJournal reads the journal service's address alone, out of a file that need not be right, nor whole; empty: it
+// can't be told.
+func readJournal(path string) (address string) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	if start, err := d.Token(); err != nil || start != json.Delim('{') {
+		return ""
+	}
+	for d.More() {
+		name, err := d.Token()
+		var value json.RawMessage
+		if err != nil || d.Decode(&value) != nil {
+			return ""
+		}
+		if name == "journal" {
+			if json.Unmarshal(value, &address) != nil {
+				return ""
+			}
+			if _, _, err := net.SplitHostPort(address); err != nil {
+				return ""
+			}
+			return address
+		}
+	}
+	return ""
 }
 
 // readMethods reads what the engine itself needs of the methods, and the load report's values.
@@ -150,6 +227,17 @@
 // connections is the half of the descriptors that is the clients', and the workers' other half.
 func (c *Config) connections() int { return (c.Sockets - ownFiles) / 2 }
 
+// bounds are those of the clients' side.
+func (c *Config) bounds() thrift.Bounds {
+	return thrift.Bounds{Connections: c.connections(), MemoryMost: c.memoryMost()}
+}
+
+// pace is how far apart turns begin at the least: as the module is driven elsewhere.
+func (c *Config) pace() time.Duration { return turn.Duration(router.Time(c.number(terms.Tick))) }
+
+// heap is what Go's collector keeps its own under.
+func (c *Config) heap() int64 { return int64(c.MemoryMB * heapPart * (1 << 20)) }
+
 // longest is the longest deadline of a method.
 func (c *Config) longest() (most time.Duration) {
 	for _, m := range c.Methods {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,10 +30,15 @@
 	margin = 10 * time.Millisecond // kept of each RPC's time for the answer's way to the client
 	// After SIGTERM connections come for 0.4 s and RPCs for 0.2 s more; what comes 0.7 s after it or later is owed
 	// nothing. For so long the front end goes on as before.
-	lame     = 700 * time.Millisecond
-	look     = 5 * time.Millisecond // how often a leaving front end looks whether all is answered
-	ownFiles = 24                   // descriptors for the listener, the journal service, standard streams and the runtime
-	heapPart = 0.7                  // of the memory limit: what Go's collector keeps its own under; stacks and code come to it
+	lame = 700 * time.Millisecond
+	look = 5 * time.Millisecond // how often a leaving front end looks whether all is answered
+	// The platform kills a front end once the longest deadline is over after lame. What is open so long before is
+	// answered then, whatever its budget.
+	lastWord = 100 * time.Millisecond
+	bindFor  = 30 * time.Second      // a predecessor may still hold the address; later than that we are given up
+	bindLook = 20 * time.Millisecond // how often it is tried
+	ownFiles = 24                    // descriptors for the listener, the journal service, standard streams and the runtime
+	heapPart = 0.7                   // of the memory limit: what Go's collector keeps its own under; stacks and code come to it
 )
 
 // FrontEnd is one on the platform.
@@ -48,7 +54,8 @@
 	feed  *feed.Feed
 	base  router.Time // the loop's time at the Unix epoch
 	lame  time.Duration
-	ready atomic.Bool
+
+	told, leaving atomic.Bool // it has a list of workers, and can serve; it was told to leave
 
 	// the loop's
 	zones, kinds []string
@@ -94,18 +101,20 @@
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: turn.NewLoop(),
 		lame: lame, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
-	f.loop.Pace(turn.Duration(router.Time(c.number(terms.Tick)))) // as the module is driven elsewhere
+	f.loop.Pace(c.pace())
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
 		Log: func(text string) { f.log.Info().Str("from", "module").Msg(text) }})
 	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
 	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
-	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Connections: c.connections(), Ready: f.ready.Load,
-		MemoryMost: c.memoryMost(), Log: f.log})
+	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Bounds: c.bounds(), Ready: f.ready, Log: f.log})
 	f.feed = feed.New(c.Journal, f.listed, f.log)
 	return f, c, nil
 }
 
+// ready is what check answers: a front end without any list would serve nobody.
+func (f *FrontEnd) ready() bool { return f.told.Load() && !f.leaving.Load() }
+
 func (f *FrontEnd) linkOptions(c *Config) httplink.Options {
 	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
 		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
@@ -121,14 +130,29 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // all front ends share cores; a second thread of ours would only wait for the first
-	debug.SetMemoryLimit(int64(c.MemoryMB * heapPart * (1 << 20)))
-	l, err := net.Listen("tcp", c.Listen)
+	debug.SetMemoryLimit(c.heap())
+	l, err := listen(ctx, c.Listen, log)
 	if err != nil {
 		return err
 	}
 	return f.serve(ctx, l, c, reload)
 }
 
+// listen takes the address. A predecessor that is still answering what it holds may have it: it is waited for.
+func listen(ctx context.Context, address string, log zerolog.Logger) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	for until := time.Now().Add(bindFor); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(until); {
+		log.Debug().Err(err).Msg("the address is taken")
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(bindLook):
+		}
+		l, err = net.Listen("tcp", address)
+	}
+	return l, err
+}
+
 func (f *FrontEnd) serve(ctx context.Context, l net.Listener, c *Config, reload <-chan os.Signal) error {
 	rest, endRest := context.WithCancel(context.Background())
 	defer endRest()
@@ -140,8 +164,8 @@
 		f.log.Warn().Err(err).Msg("the known events are not taken over")
 	}
 	restGroup.Go(func() error { f.feed.Run(rest); return nil })
-	restGroup.Go(func() error { return f.srv.Serve(l) })
-	f.loop.Post(func() { f.ready.Store(true) })
+	accepted := make(chan struct{})
+	restGroup.Go(func() error { defer close(accepted); return f.srv.Serve(l) })
 	f.log.Info().Str("listen", l.Addr().String()).Float64("memory_mb", c.MemoryMB).Int("sockets", c.Sockets).
 		Msg("front end takes RPCs")
 
@@ -157,13 +181,9 @@
 		}
 	}
 	began := time.Now()
-	f.ready.Store(false)
+	f.leaving.Store(true)
 	f.log.Info().Msg("front end is leaving")
-	time.Sleep(f.lame)
-	l.Close()
-	most, end := context.WithDeadline(context.Background(), began.Add(c.longest()+lame))
-	defer end()
-	f.srv.Wait(most)
+	f.leave(began, &c, l, accepted, reload)
 	counts := make(chan engine.Counts, 1)
 	f.loop.Post(func() { counts <- f.e.Counts() })
 	n := <-counts
@@ -178,6 +198,35 @@
 	return nil
 }
 
+// leave goes on as before for a while, then takes what waits in the listener's backlog and no more, and answers all
+// that is open; what can't be by its end is given its answer then. The list of workers and reloads count to the last.
+func (f *FrontEnd) leave(began time.Time, c **Config, l net.Listener, accepted <-chan struct{}, reload <-chan os.Signal) {
+	longest := (*c).longest()
+	end := func() time.Time { return began.Add(lame + max(longest, (*c).longest()) - lastWord) }
+	lameOver, looks := time.After(f.lame), time.NewTicker(look)
+	defer looks.Stop()
+	for open, word := true, false; ; {
+		select {
+		case <-reload:
+			f.reload(c)
+		case <-lameOver:
+			thrift.Last(l)
+		case <-accepted:
+			l.Close()
+			open, accepted = false, nil
+		case now := <-looks.C:
+			if !open && f.srv.CloseIdle() == 0 || now.After(end().Add(lastWord/2)) {
+				l.Close()
+				return
+			}
+			if !word && now.After(end()) {
+				word = true
+				f.loop.Post(f.e.AnswerAll)
+			}
+		}
+	}
+}
+
 // compare logs each second what the module believes beside what the sockets carry.
 func (f *FrontEnd) compare(ctx context.Context) {
 	for {
@@ -190,14 +239,19 @@
 	}
 }
 
-// reload reads the configuration again; one that is wrong leaves the old one in force.
+// reload reads the configuration again; one that is wrong leaves the old one in force. Only its journal service is
+// followed all the same: the old one tells nothing more.
 func (f *FrontEnd) reload(now **Config) {
 	c, err := ReadConfig(f.path, f.env)
 	if err == nil {
-		err = c.follows(*now)
+		err = c.keepPlaces(*now)
 	}
 	if err != nil {
-		f.log.Error().Err(err).Msg("the new configuration is not taken: the old one stands")
+		journal := readJournal(f.path)
+		if journal != "" {
+			f.feed.Move(journal)
+		}
+		f.log.Error().Err(err).Str("journal", journal).Msg("the new configuration is not taken: the old one stands")
 		return
 	}
 	*now = c
@@ -209,49 +263,41 @@
 		f.desk.Renew(service, limits.Settings{})
 		f.links.Renew(links)
 	})
-	debug.SetMemoryLimit(int64(c.MemoryMB * heapPart * (1 << 20)))
+	f.loop.Pace(c.pace())
+	f.srv.Renew(c.bounds())
+	debug.SetMemoryLimit(c.heap())
 	f.log.Info().Str("journal", c.Journal).Msg("the new configuration is in force")
 }
 
-// follows tells whether a configuration may take the place of another while RPCs are open: what they name by place
-// must stand there still.
-func (c *Config) follows(was *Config) error {
-	for i, m := range was.Methods {
-		if i >= len(c.Methods) || c.Methods[i].Name != m.Name {
-			return fmt.Errorf(`"settings": method %q is gone from place %d`, m.Name, i)
-		}
-	}
-	for _, names := range [][2][]string{{was.Customers, c.Customers}, {was.Zones, c.Zones}, {was.Kinds, c.Kinds}} {
-		for i, name := range names[0] {
-			if i >= len(names[1]) || names[1][i] != name {
-				return fmt.Errorf(`"settings": %q is gone from place %d`, name, i)
-			}
+// listed takes events of the journal service over, all of one answer in one turn: what an earlier one of them says of
+// a worker, and a later one takes back, must send nothing there.
+func (f *FrontEnd) listed(events []feed.Event) {
+	f.loop.Post(func() {
+		for _, e := range events {
+			f.event(e)
 		}
-	}
-	return nil
+		f.told.Store(true)
+	})
 }
 
-// listed takes an event of the journal service over.
-func (f *FrontEnd) listed(form router.ListForm, pos uint64, workers []feed.Worker) {
-	f.loop.Post(func() {
-		f.e.ListBegins(form, pos)
-		named := map[string]bool{}
-		for _, w := range workers {
-			if err := f.worker(w); err != nil {
-				f.log.Error().Err(err).Msg("a worker is left out")
-			}
-			named[w.Name] = true
+func (f *FrontEnd) event(e feed.Event) {
+	f.e.ListBegins(e.Form, e.Pos)
+	named := map[string]bool{}
+	for _, w := range e.Workers {
+		if err := f.worker(w); err != nil {
+			f.log.Error().Err(err).Msg("a worker is left out")
 		}
-		f.e.ListEnds()
-		if form == router.Whole {
-			for name := range f.addresses {
-				if !named[name] {
-					f.links.Unwant(name)
-					delete(f.addresses, name)
-				}
+		named[w.Name] = true
+	}
+	f.e.ListEnds()
+	if e.Form == router.Whole {
+		for name := range f.addresses {
+			if !named[name] {
+				f.links.Unwant(name)
+				delete(f.addresses, name)
 			}
 		}
-	})
+	}
 }
 
 func (f *FrontEnd) worker(w feed.Worker) error {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,6 +5,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"mallowlanding/internal/terms"
@@ -71,6 +73,80 @@
 	return out
 }
 
+// Lists of the operators' settings whose entries are named and go by their places.
+const (
+	Methods   = "grades"
+	Customers = "customers"
+	Zones     = "localities"
+	Kinds     = "models"
+)
+
+// Lists are all of them.
+var Lists = []string{Methods, Customers, Zones, Kinds}
+
+// KeepPlaces gives new settings with all that is listed by place where the settings before had it. An entry that is gone
+// keeps its place as it was; new ones come behind. Gone tells which are gone, by list. Nothing given is changed.
+func KeepPlaces(settings, was map[string]any) (kept map[string]any, gone map[string]map[int]bool) {
+	kept, gone = maps.Clone(settings), map[string]map[int]bool{}
+	for _, list := range Lists {
+		before, after := Names(was, list), Names(settings, list)
+		from := make([]int, len(before)) // places in the new settings; -1: gone
+		gone[list] = map[int]bool{}
+		for i, name := range before {
+			if from[i] = slices.Index(after, name); from[i] < 0 {
+				gone[list][i] = true
+			}
+		}
+		for i, name := range after {
+			if !slices.Contains(before, name) {
+				from = append(from, i)
+			}
+		}
+		kept[list] = arrange(settings[list], was[list], from)
+		switch list {
+		case Kinds: // what a kind's workers hold is listed beside it
+			if family, is := settings[functions].(map[string]any); is {
+				family = maps.Clone(family)
+				old, _ := was[functions].(map[string]any)
+				if _, told := family[memory].([]any); told {
+					family[memory] = arrange(family[memory], old[memory], from)
+				}
+				kept[functions] = family
+			}
+		case Zones: // our own zone is told by its place
+			if own, is := settings[zone].(float64); is {
+				if at := slices.Index(from, int(own)); at >= 0 {
+					kept[zone] = float64(at)
+				}
+			}
+		}
+	}
+	return kept, gone
+}
+
+// arrange lists the entries of the new list by their places there; those without one are the old list's, at their own.
+func arrange(list, was any, from []int) []any {
+	after, _ := list.([]any)
+	before, _ := was.([]any)
+	out := make([]any, len(from))
+	for i, place := range from {
+		switch {
+		case place >= 0 && place < len(after):
+			out[i] = after[place]
+		case place < 0 && i < len(before):
+			out[i] = before[i]
+		}
+	}
+	return out
+}
+
+// Names of the operators' settings that KeepPlaces heeds.
+const (
+	functions = "familyInfo"
+	memory    = "ramMbByKind"
+	zone      = "zone"
+)
+
 // Names are those of a list of the operators' settings, by place: of methods ("grades"), customers ("customers"),
 // zones ("localities") and kinds of worker ("models").
 func Names(tree map[string]any, list string) (names []string) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -1,4 +1,4 @@
-// Package sock writes to sockets without waiting.
+// Package sock writes to sockets, and looks at them, without waiting.
 package sock
 
 import (
@@ -33,3 +33,23 @@
 	})
 	return max(n, 0)
 }
+
+// Unread tells whether bytes came that nobody has read.
+func Unread(raw syscall.RawConn) (unread bool) {
+	_ = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return unread
+}
+
+// HungUp tells whether the peer has closed the connection, also where bytes that came before are unread.
+func HungUp(raw syscall.RawConn) (hungUp bool) {
+	err := raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		hungUp = err == nil && n > 0
+	})
+	return hungUp || err != nil
+}
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"mallowlanding/internal/engine"
@@ -24,20 +25,25 @@
 	s       *Server
 	nc      net.Conn
 	now     sock.Writer
+	raw     syscall.RawConn
 	since   atomic.Int64 // when it last sent a message or had an answer, Unix ns
 	spoke   atomic.Bool  // it sent a whole message
-	open    atomic.Int32 // RPCs that were read and are not over
 	strikes atomic.Int32 // messages that could not be served, one after the other
 
+	// Whether the connection may be closed is decided once, under mu: see closeIdle.
 	mu      sync.Mutex
-	out     []byte // answers that the socket has not taken
-	writing bool   // a goroutine writes them
+	open    int       // RPCs that were read and are not over
+	reading time.Time // since when a message is being read; zero: none is
+	closing bool      // no further message is read
+	out     []byte    // answers that the socket has not taken
+	writing bool      // a goroutine writes them
 
 	// the loop's
 	desk  *front.Conn
 	last  int32 // number of the last RPC
 	ok    int   // RPCs that it was answered ok
 	asks  map[int32]*pending
+	early map[int32]bool // taken back before they came
 	gone  bool
 	dirty bool // it has answers of this turn
 }
@@ -53,9 +59,73 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), asks: map[int32]*pending{}}
 	c.since.Store(time.Now().UnixNano())
+	if sc, is := nc.(syscall.Conn); is {
+		c.raw, _ = sc.SyscallConn()
+	}
 	return c
 }
 
+// idle tells whether nothing is open on the connection: no RPC, no answer that waits for the socket, no message that is
+// being read, or one that has been half there for longer than half, where that is above 0.
+func (c *conn) idle(half time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleNow(half)
+}
+
+func (c *conn) idleNow(half time.Duration) bool {
+	stuck := half > 0 && !c.reading.IsZero() && time.Since(c.reading) > half
+	return !c.closing && c.open == 0 && len(c.out) == 0 && !c.writing && (c.reading.IsZero() || stuck)
+}
+
+// closeIdle closes the connection if nothing is open on it, bytes in the socket that nobody has read included. It is
+// the one place where that is decided, and takes the lock that a reader takes before it reads a message: either the
+// message comes first and the connection stays, or it is not read, and its client sends it again elsewhere. It guards
+// against RPCs that are taken on a connection that is just being closed.
+func (c *conn) closeIdle(half time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idleNow(half) || c.reading.IsZero() && c.raw != nil && sock.Unread(c.raw) {
+		return false
+	}
+	c.closing = true
+	c.nc.Close()
+	return true
+}
+
+// begins notes that a message's first byte is there; false: the connection is being closed.
+func (c *conn) begins() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading.IsZero() {
+		c.reading = time.Now()
+	}
+	return !c.closing
+}
+
+// ends notes that a message was read and handed on; more: the first bytes of the next one are here.
+func (c *conn) ends(more bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = time.Time{}
+	if more {
+		c.reading = time.Now()
+	}
+}
+
+// opens counts RPCs that are open.
+func (c *conn) opens(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open += n
+}
+
+func (c *conn) anyOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open > 0
+}
+
 // before tells whether c gives way before other does: neither has an open RPC.
 func (c *conn) before(other *conn) bool {
 	if a, b := c.spoke.Load(), other.spoke.Load(); a != b {
@@ -75,6 +145,7 @@
 	c.s.mu.Unlock()
 	c.drain()
 	c.nc.Close()
+	c.s.held.Add(-1)
 }
 
 // drain lets answers that wait for the socket go out before it is closed.
@@ -95,6 +166,11 @@
 			if err := c.awaitMessage(r); err != nil {
 				return err
 			}
+		} else if _, err := r.Peek(1); err != nil {
+			return err
+		}
+		if !c.begins() {
+			return net.ErrClosed
 		}
 		var head [4]byte
 		if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -113,15 +189,26 @@
 		if err := decode(frame, c); err != nil {
 			return fmt.Errorf("message: %w", err)
 		}
-		if c.strikes.Load() > 0 { // guards the core against clients that send such ones at full speed
-			time.Sleep(strikeRest)
+		c.ends(r.Buffered() > 0)
+		if c.strikes.Load() > 0 && c.rest() {
+			return io.EOF
 		}
-		if strikes := c.strikes.Load(); strikes >= strikesMost && c.open.Load() == 0 {
+		if strikes := c.strikes.Load(); strikes >= strikesMost && !c.anyOpen() {
 			return fmt.Errorf("%d messages that can't be served", strikes)
 		}
 	}
 }
 
+// rest guards the core against clients that send at full speed what can't be served: their reader waits a while. It
+// tells whether the client has gone meanwhile, so that its other RPCs don't go out for nobody.
+func (c *conn) rest() (gone bool) {
+	for until := time.Now().Add(strikeRest); time.Now().Before(until) && !gone; {
+		time.Sleep(strikeLook)
+		gone = c.raw != nil && sock.HungUp(c.raw)
+	}
+	return gone
+}
+
 // awaitMessage waits for a message's first byte, for as long as an RPC is open or the connection is not idle for long.
 func (c *conn) awaitMessage(r *bufio.Reader) error {
 	for r.Buffered() == 0 {
@@ -132,7 +219,7 @@
 		if err == nil {
 			break
 		}
-		if !isTimeOut(err) || c.open.Load() == 0 && time.Now().UnixNano()-c.since.Load() >= int64(idleMost) {
+		if !isTimeOut(err) || !c.anyOpen() && time.Now().UnixNano()-c.since.Load() >= int64(idleMost) {
 			return err
 		}
 	}
@@ -143,13 +230,17 @@
 func (c *conn) execute(seq int32, fields map[string]string, body []byte) {
 	came := time.Now()
 	p, err := c.s.params(fields, body)
-	c.open.Add(1)
+	c.opens(1)
 	c.s.loop.Post(func() {
 		switch {
 		case c.gone:
-			c.open.Add(-1)
+			c.opens(-1)
+		case c.early[seq]: // no answer is owed
+			delete(c.early, seq)
+			c.last = max(c.last, seq)
+			c.opens(-1)
 		case seq <= c.last || len(c.asks) >= openMost: // a number that was used, or more open than the protocol allows
-			c.open.Add(-1)
+			c.opens(-1)
 			c.s.o.Log.Debug().Str("client", c.nc.RemoteAddr().String()).Int32("seq", seq).Int32("last", c.last).
 				Int("open", len(c.asks)).Msg("a client breaks the order of numbers, or has too many RPCs open")
 			c.shut()
@@ -181,7 +272,7 @@
 	c.s.o.Log.Debug().Err(err).Str("client", c.nc.RemoteAddr().String()).Int32("seq", seq).Int("open", len(c.asks)).
 		Msg("an RPC that can't be served")
 	c.say(failed(seq, err.Error()))
-	c.open.Add(-1)
+	c.opens(-1)
 }
 
 // interrupt implements peer.
@@ -190,6 +281,11 @@
 		if p := c.asks[seq]; p != nil {
 			p.ask.Leave()
 			p.over()
+		} else if seq > c.last && len(c.early) < openMost { // it came before its RPC
+			if c.early == nil {
+				c.early = map[int32]bool{}
+			}
+			c.early[seq] = true
 		}
 	})
 }
@@ -238,7 +334,7 @@
 	p.c.s.ended(p)
 	delete(p.c.asks, p.seq)
 	p.c.since.Store(time.Now().UnixNano())
-	p.c.open.Add(-1)
+	p.c.opens(-1)
 }
 
 // say hands an answer over that leaves at the turn's end; in a turn.
@@ -367,7 +463,7 @@
 		var err error
 		switch name {
 		case "memory_mb":
-			fn.Memory, err = figure(value, s.o.MemoryMost)
+			fn.Memory, err = figure(value, s.bounds.Load().MemoryMost)
 		case "lanes":
 			if v, err = figure(value, lanesMost); err == nil && v != float64(int(v)) {
 				err = fmt.Errorf("%.24q is not whole", value)
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -1,12 +1,12 @@
 package thrift
 
 import (
-	"context"
 	"errors"
 	"net"
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,10 +18,15 @@
 
 // Options are a server's settings.
 type Options struct {
-	Connections int         // at once; beyond that one without an open RPC gives way
-	Ready       func() bool // what check answers; any goroutine may ask
-	MemoryMost  float64     // MB of a copy: the largest worker's
-	Log         zerolog.Logger
+	Bounds
+	Ready func() bool // what check answers; any goroutine may ask
+	Log   zerolog.Logger
+}
+
+// Bounds are the settings that may change while a server runs.
+type Bounds struct {
+	Connections int     // at once; beyond that one without an open RPC gives way
+	MemoryMost  float64 // MB of a copy: the largest worker's
 }
 
 const (
@@ -33,16 +38,21 @@
 	unreadMost  = 1 << 20         // bytes of answers that wait for a slow reader before it is cut off
 	strikesMost = 3               // messages that can't be served before a connection is closed
 	strikeRest  = 50 * time.Millisecond
-	ticketsFor  = 5 * time.Second // an RPC's id is known again for so long at the least, twice that at the most
+	strikeLook  = 5 * time.Millisecond  // how often the reader looks meanwhile whether the client has gone
+	halfRead    = 50 * time.Millisecond // a usual client's message is whole by then; one that is not may give way
+	closeWithin = 20 * time.Millisecond // for so long the descriptor of one that gave way is waited for
+	ticketsFor  = 5 * time.Second       // an RPC's id is known again for so long at the least, twice that at the most
 )
 
 // Server takes connections. The last fields belong to the loop's goroutine.
 type Server struct {
-	o     Options
-	loop  *turn.Loop
-	desk  *front.Desk
-	mu    sync.Mutex
-	conns map[*conn]bool
+	o      Options
+	bounds atomic.Pointer[Bounds]
+	loop   *turn.Loop
+	desk   *front.Desk
+	held   atomic.Int32 // descriptors of connections, from their accept to the end of their close
+	mu     sync.Mutex
+	conns  map[*conn]bool
 
 	now     router.Time
 	dirty   []*conn                // with answers of this turn
@@ -52,26 +62,37 @@
 
 // New makes a server for a desk that loop drives.
 func New(loop *turn.Loop, d *front.Desk, o Options) *Server {
-	return &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, tickets: [2]map[uint64]*pending{{}, {}}}
+	s := &Server{o: o, loop: loop, desk: d, conns: map[*conn]bool{}, tickets: [2]map[uint64]*pending{{}, {}}}
+	s.bounds.Store(&o.Bounds)
+	return s
+}
+
+// Renew takes new bounds; any goroutine may call it. Connections beyond a lower one give way at once, as far as they
+// have no open RPC.
+func (s *Server) Renew(b Bounds) {
+	s.bounds.Store(&b)
+	for left := int(s.held.Load()); left > b.Connections && s.giveWay(); left-- {
+	}
 }
 
 // Serve takes connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) { // see Last
 			return nil
 		}
 		if err != nil { // out of descriptors, or gone before it was taken
 			s.o.Log.Warn().Err(err).Msg("accept")
-			s.makeRoom(1)
-			time.Sleep(5 * time.Millisecond)
+			s.giveWay()
+			time.Sleep(strikeLook)
 			continue
 		}
-		if !s.makeRoom(0) {
+		if !s.makeRoom() {
 			nc.Close()
 			continue
 		}
+		s.held.Add(1)
 		c := newConn(s, nc)
 		s.mu.Lock()
 		s.conns[c] = true
@@ -80,29 +101,53 @@
 	}
 }
 
-// makeRoom closes a connection where all places but spare are taken: one that never sent a whole message, the first
-// come first, else the one longest without an open RPC. It guards usual clients against those that connect by
-// hundreds and say nothing. It tells whether there is room.
-func (s *Server) makeRoom(spare int) bool {
-	s.mu.Lock()
-	if len(s.conns) < s.o.Connections-spare {
-		s.mu.Unlock()
+// Last has Serve take what waits in the listener's backlog, and return: a listener that is just closed resets it.
+func Last(l net.Listener) {
+	if tcp, is := l.(*net.TCPListener); is && tcp.SetDeadline(time.Now().Add(closeWithin)) == nil {
+		return
+	}
+	l.Close()
+}
+
+// makeRoom tells whether one more connection may be held, and closes another for it where all places are taken. Each
+// counts until its descriptor is closed: one that gave way is waited for.
+func (s *Server) makeRoom() bool {
+	full := func() bool { return int(s.held.Load()) >= s.bounds.Load().Connections }
+	if !full() {
 		return true
 	}
-	var victim *conn
-	for c := range s.conns {
-		if c.open.Load() == 0 && c.waiting() == 0 && (victim == nil || c.before(victim)) {
-			victim = c
-		}
+	if !s.giveWay() {
+		return false
 	}
-	if victim != nil {
-		delete(s.conns, victim)
+	for until := time.Now().Add(closeWithin); full() && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
 	}
-	s.mu.Unlock()
-	if victim != nil {
-		victim.nc.Close()
+	return !full()
+}
+
+// giveWay closes a connection that nothing is open on: one that never sent a whole message, the first come first, else
+// the one longest without an open RPC, else one whose message has been half there for long. It guards usual clients
+// against those that connect by hundreds and say nothing. It tells whether there was one.
+func (s *Server) giveWay() bool {
+	for half := time.Duration(0); half <= halfRead; half += halfRead {
+		for {
+			s.mu.Lock()
+			var victim *conn
+			for c := range s.conns {
+				if c.idle(half) && (victim == nil || c.before(victim)) {
+					victim = c
+				}
+			}
+			s.mu.Unlock()
+			if victim == nil {
+				break
+			}
+			if victim.closeIdle(half) { // else a message of it came meanwhile
+				return true
+			}
+		}
 	}
-	return victim != nil
+	return false
 }
 
 // CloseIdle closes connections without an open RPC, and tells how many are left.
@@ -110,10 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.open.Load() == 0 && c.waiting() == 0 {
-			c.nc.Close()
-			delete(s.conns, c)
-		}
+		c.closeIdle(0)
 	}
 	return len(s.conns)
 }
@@ -181,10 +223,3 @@
 
 // isTimeOut tells whether a read or write met its deadline.
 func isTimeOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
-// Wait returns once no connection is left, or the context ends.
-func (s *Server) Wait(ctx context.Context) {
-	for s.CloseIdle() > 0 && ctx.Err() == nil {
-		time.Sleep(5 * time.Millisecond)
-	}
-}
--- a/internal/turn/turn.go
+++ b/internal/turn/turn.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mallowlanding/router"
@@ -114,15 +115,15 @@
 	queue []func()
 	over  bool
 	wake  chan struct{}
-	pace  time.Duration
+	pace  atomic.Int64 // ns
 }
 
 // NewLoop starts the loop's clock.
 func NewLoop() *Loop { return &Loop{start: time.Now(), wake: make(chan struct{}, 1)} }
 
 // Pace has turns begin so far apart at the least: under load each turn then brings more events, and what a turn costs
-// by itself is paid less often. Call it before Run.
-func (l *Loop) Pace(d time.Duration) { l.pace = d }
+// by itself is paid less often. Any goroutine may call it.
+func (l *Loop) Pace(d time.Duration) { l.pace.Store(int64(d)) }
 
 // Now reads the loop's clock; any goroutine may.
 func (l *Loop) Now() router.Time { return epoch + Span(time.Since(l.start)) }
@@ -154,7 +155,7 @@
 	var spare []func()
 	var last time.Time
 	for {
-		if wait := l.pace - time.Since(last); wait > 0 && !last.IsZero() {
+		if wait := time.Duration(l.pace.Load()) - time.Since(last); wait > 0 && !last.IsZero() {
 			time.Sleep(wait)
 		}
 		last = time.Now()
