--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -31,11 +31,14 @@
 )
 
 const (
-	path      = "/v2/q/"
-	bodyMost  = 64 << 10             // of an answer; the protocol's bodies have 16 KiB
-	rest      = 5 * time.Millisecond // a used connection rests: what came behind its answer must not meet the next one
-	connsMost = 3                    // more connections that a message is tried on while it has not left whole
-	look      = time.Second          // how often idle connections are looked at
+	path     = "/v2/q/"
+	bodyMost = 64 << 10 // of an answer; the protocol's bodies have 16 KiB
+	// A used connection rests, so that what comes behind its answer meets no other message: nothing in an answer tells
+	// whose it is. A second copy comes some milliseconds late; 50 ms are what the protocol gives each time limit for the
+	// sockets' sake.
+	rest      = 50 * time.Millisecond
+	connsMost = 3           // more connections that a message is tried on while it has not left whole
+	look      = time.Second // how often idle connections are looked at
 )
 
 // Options are the settings of all links of a front end.
@@ -45,9 +48,21 @@
 	Idle           time.Duration // workers close connections idle for so long; we do in half that time
 	Connections    int           // to all workers at once, idle ones included
 	Values         []string      // the figures of a load report, in our words, by their places
+	Dialer         Dialer        // nil: hop's
 	Log            zerolog.Logger
 }
 
+// Dialer makes connections to workers.
+type Dialer interface {
+	Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error)
+}
+
+type dialer struct{}
+
+func (dialer) Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error) {
+	return hop.Dial(ctx, address, within)
+}
+
 // Set has a front end's links. Its methods are for turns of the loop alone.
 type Set struct {
 	o      Options
@@ -60,7 +75,9 @@
 
 // New makes a set.
 func New(loop *turn.Loop, e *engine.Engine, o Options) *Set {
-	return &Set{o: o, loop: loop, engine: e, links: map[string]*Link{}}
+	s := &Set{loop: loop, engine: e, links: map[string]*Link{}}
+	s.Renew(o)
+	return s
 }
 
 // Link is the way to one worker. All but what exchanges do belongs to the loop's goroutine.
@@ -107,7 +124,11 @@
 }
 
 // Renew takes new settings.
-func (s *Set) Renew(o Options) { s.o = o }
+func (s *Set) Renew(o Options) {
+	if s.o = o; o.Dialer == nil {
+		s.o.Dialer = dialer{}
+	}
+}
 
 // View tells for each link what is out on it and how many connections are idle; see router.Router's.
 func (s *Set) View() string {
@@ -167,22 +188,21 @@
 	return nil
 }
 
-// room tells whether one more connection may be made; an idle one of any worker gives way.
+// room tells whether one more connection may be made; idle ones of any worker give way.
 func (s *Set) room() bool {
-	if s.conns < s.o.Connections {
-		return true
-	}
-	var oldest *Link
-	for _, l := range s.links {
-		if len(l.idle) > 0 && (oldest == nil || l.idle[0].since.Before(oldest.idle[0].since)) {
-			oldest = l
+	for s.conns >= s.o.Connections {
+		var oldest *Link
+		for _, l := range s.links {
+			if len(l.idle) > 0 && (oldest == nil || l.idle[0].since.Before(oldest.idle[0].since)) {
+				oldest = l
+			}
 		}
+		if oldest == nil {
+			return false
+		}
+		oldest.drop(oldest.idle[0].conn)
+		oldest.idle = oldest.idle[1:]
 	}
-	if oldest == nil {
-		return false
-	}
-	oldest.drop(oldest.idle[0].conn)
-	oldest.idle = oldest.idle[1:]
 	return true
 }
 
@@ -269,7 +289,7 @@
 func (x *exchange) try(conn *hop.Conn) (a hop.Answer, used *hop.Conn, again bool, err error) {
 	for left := connsMost; ; left-- {
 		if conn == nil {
-			conn, err = hop.Dial(x.ctx, x.l.address, min(x.o.ConnectTimeOut, time.Until(x.by)))
+			conn, err = x.o.Dialer.Dial(x.ctx, x.l.address, min(x.o.ConnectTimeOut, time.Until(x.by)))
 			if errors.Is(err, syscall.ECONNRESET) && left > 0 { // it came up, and broke
 				continue
 			}
--- /dev/null
+++ b/internal/httplink/httplink_test.go
@@ -0,0 +1,285 @@
+package httplink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mallowlanding/internal/engine"
+	"mallowlanding/internal/hop"
+	"mallowlanding/internal/turn"
+	"mallowlanding/router"
+)
+
+const patience = 5 * time.Second
+
+// machine has nothing but turns.
+type machine struct{}
+
+func (machine) Begin(router.Time)        {}
+func (machine) End()                     {}
+func (machine) Due() (router.Time, bool) { return 0, false }
+
+// rig is a set with one link, a worker that counts what comes whole, and a gate that connections come up behind.
+type rig struct {
+	t    *testing.T
+	s    *Set
+	loop *turn.Loop
+	l    net.Listener
+	came chan string // a message's verb and path; "" for a connection that ended with nothing on it
+	up   chan bool   // one waits at the gate
+	gate chan bool
+}
+
+func newRig(t *testing.T) *rig {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, l: l, loop: turn.NewLoop(), came: make(chan string, 16), up: make(chan bool, 16), gate: make(chan bool, 16)}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				for in, first := bufio.NewReader(nc), true; ; first = false {
+					head, err := http.ReadRequest(in)
+					if err != nil {
+						if first {
+							r.came <- ""
+						}
+						return
+					}
+					r.came <- head.Method + " " + head.RequestURI
+					_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Slots-Up: 1\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	e := engine.New(engine.Options{Settings: router.Settings{}, Now: r.loop.Now(), Log: func(string) {}})
+	r.s = New(r.loop, e, Options{ConnectTimeOut: patience, OrderTimeOut: patience, Idle: patience, Connections: 8,
+		Dialer: r, Log: zerolog.Nop()})
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan bool)
+	go func() { r.loop.Run(ctx, machine{}); close(over) }()
+	t.Cleanup(func() { stop(); <-over; l.Close() })
+	r.turn(func() { r.s.Want("w", l.Addr().String(), 1) })
+	return r
+}
+
+// Dial implements Dialer: the connection is up, and the front end hears of it once the gate opens.
+func (r *rig) Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error) {
+	conn, err := hop.Dial(context.WithoutCancel(ctx), address, within)
+	r.up <- true
+	<-r.gate
+	return conn, err
+}
+
+// turn has f done in a turn, and waits for it.
+func (r *rig) turn(f func()) {
+	done := make(chan bool)
+	r.loop.Post(func() { f(); close(done) })
+	<-done
+}
+
+// message starts one and tells how it ends.
+func (r *rig) message(within time.Duration) (x *exchange, ended chan end) {
+	ended = make(chan end, 1)
+	r.turn(func() {
+		x = r.s.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), within,
+			func(e end) { ended <- e })
+	})
+	return x, ended
+}
+
+func (r *rig) sees(want string) {
+	r.t.Helper()
+	select {
+	case got := <-r.came:
+		if got != want {
+			r.t.Fatalf("the worker saw %q, want %q", got, want)
+		}
+	case <-time.After(patience):
+		r.t.Fatalf("the worker saw nothing, want %q", want)
+	}
+}
+
+func (r *rig) ends(ended chan end, want router.Outcome) {
+	r.t.Helper()
+	select {
+	case e := <-ended:
+		got := router.OK
+		if e.err != nil {
+			got = e.outcome()
+		}
+		if got != want {
+			r.t.Fatalf("it ended with %d, want %d: %v", got, want, e.err)
+		}
+	case <-time.After(patience):
+		r.t.Fatal("it did not end")
+	}
+}
+
+// counted: no connection is counted that has ended, and none that stands is not.
+func (r *rig) counted(want int) {
+	r.t.Helper()
+	r.turn(func() {
+		if r.s.conns != want || len(r.s.links) > 0 && len(r.s.links["w"].all) > 0 {
+			r.t.Errorf("%d connections are counted, want %d", r.s.conns, want)
+		}
+	})
+}
+
+// TestUnwantAgainstDial: whatever kind of message waits for its connection, an order or a check as well, it is not sent
+// once the worker is wanted no more; what was sent before that is answered.
+func TestUnwantAgainstDial(t *testing.T) {
+	r := newRig(t)
+	_, ended := r.message(patience)
+	<-r.up
+	r.turn(func() { r.s.Unwant("w") })
+	r.gate <- true
+	r.sees("")
+	r.ends(ended, router.Full)
+	r.counted(0)
+
+	r = newRig(t)
+	_, ended = r.message(patience)
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.turn(func() { r.s.Unwant("w") })
+	r.ends(ended, router.OK)
+	r.counted(0)
+}
+
+// TestUnwantEndsTheDial: it does not run on to its time-out.
+func TestUnwantEndsTheDial(t *testing.T) {
+	r := newRig(t)
+	r.turn(func() {
+		o := r.s.o
+		o.Dialer = dialFunc(func(ctx context.Context, _ string, _ time.Duration) (*hop.Conn, error) {
+			r.up <- true
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		r.s.Renew(o)
+	})
+	_, ended := r.message(time.Hour)
+	<-r.up
+	r.turn(func() { r.s.Unwant("w") })
+	r.ends(ended, router.Full)
+	r.counted(0)
+}
+
+type dialFunc func(ctx context.Context, address string, within time.Duration) (*hop.Conn, error)
+
+// Dial implements Dialer.
+func (f dialFunc) Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error) {
+	return f(ctx, address, within)
+}
+
+// TestGiveUpAgainstDial: given up first, nothing is sent, and that tells nothing of the worker.
+func TestGiveUpAgainstDial(t *testing.T) {
+	r := newRig(t)
+	x, ended := r.message(patience)
+	<-r.up
+	r.turn(x.giveUp)
+	r.gate <- true
+	r.sees("")
+	r.ends(ended, router.Full)
+	r.counted(0)
+}
+
+// TestTimeUpAgainstDial: a connection that comes up after the message's time carries nothing.
+func TestTimeUpAgainstDial(t *testing.T) {
+	r := newRig(t)
+	x, ended := r.message(20 * time.Millisecond)
+	<-r.up
+	time.Sleep(time.Until(x.by)) // the order is chosen: the gate opens after it
+	r.gate <- true
+	r.sees("")
+	r.ends(ended, router.Full)
+	r.counted(0)
+}
+
+// TestIdleReset: a message on a connection that its worker has closed goes out on another, once.
+func TestIdleReset(t *testing.T) {
+	r := newRig(t)
+	_, ended := r.message(patience)
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.ends(ended, router.OK)
+	var was *hop.Conn
+	r.turn(func() {
+		l := r.s.links["w"]
+		was = l.idle[0].conn
+		l.idle[0].since = time.Now().Add(-rest)
+	})
+	_, ended = r.message(patience) // rested: used again, no dial
+	r.sees("PUT /v2/q/f/1")
+	r.ends(ended, router.OK)
+	r.turn(func() {
+		if l := r.s.links["w"]; len(l.idle) != 1 || l.idle[0].conn != was {
+			t.Error("a connection that had rested was not used again")
+		}
+	})
+	_, ended = r.message(patience) // not rested: a new one
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.ends(ended, router.OK)
+	r.counted(2)
+}
+
+// TestFewerConnections: bounds that shrink have idle connections make way.
+func TestFewerConnections(t *testing.T) {
+	r := newRig(t)
+	for range 3 {
+		_, ended := r.message(patience)
+		<-r.up
+		r.gate <- true
+		r.sees("PUT /v2/q/f/1")
+		r.ends(ended, router.OK)
+	}
+	r.counted(3)
+	r.turn(func() {
+		o := r.s.o
+		o.Connections = 2
+		r.s.Renew(o)
+	})
+	_, ended := r.message(patience)
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.ends(ended, router.OK)
+	r.counted(2)
+}
+
+// TestOutcomes: what an end without an answer proves.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		e    end
+		want router.Outcome
+	}{
+		{end{err: hop.ErrUnsent, local: true}, router.Full},
+		{end{err: errors.Join(hop.ErrUnsent, context.DeadlineExceeded)}, router.ConnectFailed},
+		{end{err: hop.ErrSpoilt}, router.Reset},
+		{end{err: io.EOF}, router.Reset},
+		{end{err: net.ErrClosed}, router.CalledOff},
+	} {
+		if got := c.e.outcome(); got != c.want {
+			t.Errorf("%v: %d, want %d", c.e.err, got, c.want)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -54,6 +54,7 @@
 	feed  *feed.Feed
 	base  router.Time // the loop's time at the Unix epoch
 	lame  time.Duration
+	dials httplink.Dialer // nil: the links' own
 
 	told, leaving atomic.Bool // it has a list of workers, and can serve; it was told to leave
 
@@ -119,7 +120,7 @@
 	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
 		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
 		Idle:         c.span(terms.May, terms.IdleClose, 10*time.Second),
-		Connections:  c.connections(), Values: c.Values, Log: f.log}
+		Connections:  c.connections(), Values: c.Values, Dialer: f.dials, Log: f.log}
 }
 
 // Serve runs a front end until the context ends, and then goes on as before for a while, answers what it holds, and
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -23,6 +24,8 @@
 	wire "github.com/apache/thrift/lib/go/thrift"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
+
+	"mallowlanding/internal/hop"
 )
 
 // A file has conversations, each under a line of '== NAME', one step a line; '#' begins a comment. They are held over
@@ -32,11 +35,21 @@
 //	tell W=STATE ...          the journal service tells an event; the first one is told at the start
 //	feed break|silent|moves   the service breaks off its next answer, says nothing for it, or has a new address that
 //	                          the front end is told of with a reload; bad: the front end is told nonsense
+//	config OLD=>NEW           a text of the configuration is another from here on
 //	start | stop | left       the front end runs; it is told to leave; it has left
+//	reload                    the configuration is read again
+//	known METHOD              the front end has heard of a method
+//	told                      the front end has asked for what comes after the last event
 //	C dials                   a client connects
 //	C rpc N [FIELD=VALUE]...  it sends an RPC numbered N: method query, customer acme, function F, 1000 ms
 //	C takes back N            it sends interrupt
 //	C raw "GO STRING"         it sends these bytes
+//	C check good|bad          it asks whether the front end is ready until it is answered so
+//	C half N [FIELD=VALUE]... it sends the first half of an RPC
+//	C rest                    it sends the other half
+//	C gone | C resets         it closes its connection, with a reset
+//	C stands                  its connection is open, and nothing came
+//	crowd N                   so many clients connect and say nothing
 //	C < N ok BODY             its next answer is N's: ok with BODY, denied or aborted
 //	C closed                  its connection ends, whatever comes before
 //	W < VERB PATH [H=V]...    a message comes to W on any connection, with these heads; it answers checks by itself
@@ -44,6 +57,10 @@
 //	W closes|resets           it ends that connection
 //	W gone                    the front end ends the connection of the last message
 //	W nothing MS              no message comes to W for so long
+//	W late | W up             connections to W come up from now on, but the front end hears of it only at 'up'
+//	W dialled                 one has come up that it has not heard of
+//	W empty                   a connection to W ends that nothing came on
+//	W other                   the last message came on another connection than the one before
 //	wait MS
 func TestConversations(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -102,6 +119,10 @@
 	stop    context.CancelFunc
 	left    chan error
 	listen  string
+	config  []string // texts and what stands for them
+	asked   int      // the latest number that the journal service was asked from
+	f       *FrontEnd
+	crowd   []net.Conn
 }
 
 type message struct {
@@ -113,13 +134,18 @@
 	l    net.Listener
 	came chan message
 	last net.Conn
+	was  net.Conn  // of the message before
+	ends chan bool // a connection ended; true: nothing had come on it
+	late chan bool // nil: connections are told of at once; else once it is closed
+	up   chan bool // one waits for that
 	mu   sync.Mutex
 	all  []net.Conn
 }
 
 type client struct {
-	nc net.Conn
-	in *bufio.Reader
+	nc   net.Conn
+	in   *bufio.Reader
+	rest []byte
 }
 
 func (s *stage) fail(format string, args ...any) {
@@ -144,7 +170,7 @@
 		}
 		words := strings.Fields(s.line)
 		_, text, _ := strings.Cut(s.line, `"`)
-		if text != "" {
+		if text != "" && words[0] != "config" {
 			var err error
 			text, err = strconv.Unquote(`"` + text)
 			s.must(err)
@@ -159,6 +185,24 @@
 			s.turnFeed(words[1])
 		case words[0] == "start":
 			s.start()
+		case words[0] == "config":
+			before, after, _ := strings.Cut(strings.TrimSpace(strings.TrimPrefix(s.line, "config")), "=>")
+			s.config = append(s.config, before, after)
+		case words[0] == "reload":
+			s.configure()
+			s.reload <- syscall.SIGHUP
+		case words[0] == "known":
+			s.until(func() bool { _, known := s.f.desk.Method(words[1]); return known })
+		case words[0] == "told":
+			s.until(func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.asked >= len(s.events) })
+		case words[0] == "crowd":
+			n, err := strconv.Atoi(words[1])
+			s.must(err)
+			for range n {
+				nc, err := net.Dial("tcp", s.listen)
+				s.must(err)
+				s.crowd = append(s.crowd, nc)
+			}
 		case words[0] == "stop":
 			s.stop()
 		case words[0] == "left":
@@ -176,7 +220,7 @@
 		case words[1] == "dials":
 			nc, err := net.Dial("tcp", s.listen)
 			s.must(err)
-			s.clients[words[0]] = &client{nc, bufio.NewReader(nc)}
+			s.clients[words[0]] = &client{nc: nc, in: bufio.NewReader(nc)}
 		case c != nil:
 			s.client(c, words[1:], text)
 		case w != nil:
@@ -200,6 +244,25 @@
 		}))
 	case "raw":
 		_, err = c.nc.Write([]byte(text))
+	case "check":
+		want := map[string]bool{"good": true, "bad": false}[words[1]]
+		s.until(func() bool { return s.check(c) == want })
+	case "half":
+		frame := execute(words[1], words[2:])
+		c.rest = frame[len(frame)/2:]
+		_, err = c.nc.Write(frame[:len(frame)/2])
+	case "rest":
+		_, err = c.nc.Write(c.rest)
+	case "gone":
+		c.nc.Close()
+	case "resets":
+		s.must(c.nc.(*net.TCPConn).SetLinger(0))
+		c.nc.Close()
+	case "stands":
+		_ = c.nc.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, e := c.in.Peek(1); !os.IsTimeout(e) {
+			s.fail("it ended, or something came: %v", e)
+		}
 	case "<":
 		want := strings.Join(words[1:], " ")
 		_ = c.nc.SetReadDeadline(time.Now().Add(patience))
@@ -231,10 +294,38 @@
 					s.fail("%s is %q", name, got)
 				}
 			}
-			w.last = m.nc
+			w.was, w.last = w.last, m.nc
 		case <-time.After(patience):
 			s.fail("nothing came")
 		}
+	case "late":
+		w.late = make(chan bool)
+	case "up":
+		close(w.late)
+	case "dialled":
+		select {
+		case <-w.up:
+		case <-time.After(patience):
+			s.fail("it has not")
+		}
+	case "empty":
+		for {
+			select {
+			case empty := <-w.ends:
+				if empty {
+					return
+				}
+				continue
+			case m := <-w.came:
+				s.fail("got %s %s", m.head.Method, m.head.RequestURI)
+			case <-time.After(patience):
+				s.fail("none ended")
+			}
+		}
+	case "other":
+		if w.was == w.last {
+			s.fail("it is the same")
+		}
 	case "says":
 		_, err := w.last.Write([]byte(text))
 		s.must(err)
@@ -274,8 +365,10 @@
 	}
 	l, err := net.Listen("tcp", address)
 	s.must(err)
-	w := &worker{l: l, came: make(chan message, 64)}
+	w := &worker{l: l, came: make(chan message, 64), ends: make(chan bool, 64), up: make(chan bool, 64)}
+	s.mu.Lock()
 	s.workers[name] = w
+	s.mu.Unlock()
 	go func() {
 		for {
 			nc, err := l.Accept()
@@ -286,11 +379,15 @@
 			w.all = append(w.all, nc)
 			w.mu.Unlock()
 			go func() {
+				defer nc.Close()
+				empty := true
 				for in := bufio.NewReader(nc); ; {
 					head, err := http.ReadRequest(in)
 					if err != nil {
+						w.ends <- empty
 						return
 					}
+					empty = false
 					if _, err = io.Copy(io.Discard, head.Body); err != nil {
 						return
 					}
@@ -342,6 +439,7 @@
 	tail, _ := strconv.Atoi(in.URL.Query().Get("tail"))
 	wait, _ := strconv.Atoi(in.URL.Query().Get("max_wait"))
 	s.mu.Lock()
+	s.asked = max(s.asked, tail)
 	more, none := s.more, tail >= len(s.events)
 	s.mu.Unlock()
 	if none {
@@ -392,6 +490,9 @@
 	s.must(err)
 	text = []byte(strings.NewReplacer("$LISTEN", s.listen, "$JOURNAL", s.feed.Listener.Addr().String(), `"$KNOWN"`,
 		string(s.known(0))).Replace(string(text)))
+	for i := 0; i < len(s.config); i += 2 {
+		text = bytes.ReplaceAll(text, []byte(s.config[i]), []byte(s.config[i+1]))
+	}
 	s.must(os.WriteFile(s.path, text, 0o600))
 }
 
@@ -405,6 +506,8 @@
 	if !strings.Contains(s.t.Name(), "leave") { // others need not wait for what the platform still sends
 		f.lame = 0
 	}
+	f.dials, s.f = s, f
+	f.links.Renew(f.linkOptions(c))
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop, s.left, s.reload = stop, make(chan error, 1), make(chan os.Signal, 1)
 	left := s.left
@@ -415,6 +518,9 @@
 	for _, c := range s.clients {
 		c.nc.Close()
 	}
+	for _, nc := range s.crowd {
+		nc.Close()
+	}
 	if s.stop != nil {
 		s.stop()
 	}
@@ -428,6 +534,47 @@
 	s.feed.Close()
 }
 
+// until waits for what must come.
+func (s *stage) until(is func() bool) {
+	for until := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			s.fail("it is not so")
+		}
+	}
+}
+
+// check asks whether the front end is ready.
+func (s *stage) check(c *client) bool {
+	_, err := c.nc.Write(frame("check", wire.CALL, 1, func(ctx context.Context, w wire.TProtocol) {}))
+	s.must(err)
+	_ = c.nc.SetReadDeadline(time.Now().Add(patience))
+	var n uint32
+	s.must(binary.Read(c.in, binary.BigEndian, &n))
+	text := make([]byte, n)
+	_, err = io.ReadFull(c.in, text)
+	s.must(err)
+	return bytes.Contains(text, []byte{wire.BOOL, 0, 3, 1})
+}
+
+// Dial implements httplink.Dialer: a connection to a worker that is late comes up, but the front end hears of it only
+// once the worker says so, whether it still wants to know or not.
+func (s *stage) Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error) {
+	s.mu.Lock()
+	var to *worker
+	for _, w := range s.workers {
+		if w.l.Addr().String() == address {
+			to = w
+		}
+	}
+	s.mu.Unlock()
+	conn, err := hop.Dial(context.WithoutCancel(ctx), address, within)
+	if to != nil && to.late != nil && err == nil {
+		to.up <- true
+		<-to.late
+	}
+	return conn, err
+}
+
 // frame encodes a message.
 func frame(name string, form wire.TMessageType, seq int32, args func(ctx context.Context, w wire.TProtocol)) []byte {
 	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
