--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"mallowlanding/internal/core"
 	"mallowlanding/internal/ident"
@@ -95,6 +96,7 @@
 type named struct {
 	name string
 	fn   Function
+	used router.Time // last taken or ordered
 }
 
 type callOut struct {
@@ -104,11 +106,19 @@
 }
 
 type worker struct {
-	id   router.WorkerID
-	name string
-	link Link
+	id     router.WorkerID
+	name   string
+	link   Link
+	listed uint64      // the last list that named it
+	gone   router.Time // since when it is; 0: it is not
 }
 
+// The module forgets what nothing was heard of for ten minutes; names are kept for longer, since it goes by their ids.
+const (
+	forgetAfter = router.Time(20 * time.Minute / turn.Unit)
+	forgetLook  = router.Time(10 * time.Second / turn.Unit) // how often that is looked at
+)
+
 type order struct {
 	worker  *worker
 	fn      router.FunctionID
@@ -157,6 +167,9 @@
 	counts  Counts
 	listen  func()
 	wanted  *leave.Wanted[OrderID]
+	lists   uint64      // of workers, that came
+	whole   bool        // the last of them
+	forgot  router.Time // when it was last looked what may be forgotten
 	within  router.Time // workers have so long to tell what came of a call-off
 }
 
@@ -207,6 +220,23 @@
 	e.now = now
 	e.counts.Turns++
 	e.passLater()
+	if now-e.forgot >= forgetLook {
+		e.forgot = now
+		e.forget()
+	}
+}
+
+// forget drops names and workers that nothing can happen to any more: memory must not grow with all that ever were.
+func (e *Engine) forget() {
+	out := map[router.FunctionID]bool{}
+	for _, o := range e.orders {
+		out[o.fn] = true
+	}
+	for _, p := range e.rpcs {
+		out[ident.Function(p.Function)] = true
+	}
+	maps.DeleteFunc(e.names, func(fn router.FunctionID, n named) bool { return !out[fn] && e.now-n.used >= forgetAfter })
+	maps.DeleteFunc(e.workers, func(_ router.WorkerID, w *worker) bool { return w.gone > 0 && e.now-w.gone >= forgetAfter })
 }
 
 // End ends a turn: timers that are due, then the module settles once.
@@ -259,7 +289,7 @@
 	for e.lastRPC++; e.rpcs[router.RPCID(e.lastRPC)] != nil; e.lastRPC++ {
 	}
 	id, fid := router.RPCID(e.lastRPC), ident.Function(function)
-	e.names[fid] = named{function, fn}
+	e.names[fid] = named{function, fn, e.now}
 	p := &RPC{e: e, id: id, client: client, end: e.now + max(left-e.margin, 0), Method: method, Function: function,
 		Fn: fn, Token: token, Payload: payload, Blob: blob, Soft: e.now + method.Soft, place: m, leave: leave.RPC{Effect: method.Effect, Group: method.Group}}
 	e.rpcs[id] = p
@@ -436,6 +466,8 @@
 
 // ListBegins, Listed and ListEnds bring the list of workers or its changes; see router.Router.
 func (e *Engine) ListBegins(form router.ListForm, version uint64) {
+	e.lists++
+	e.whole = form == router.Whole
 	e.core.ListBegins(e.now, form, version)
 }
 
@@ -445,12 +477,25 @@
 	if w := e.workers[ident.Worker(name)]; w != nil && w.name != name {
 		return fmt.Errorf("worker %q has the id of worker %q: rename one of them", name, w.name)
 	}
-	e.core.Listed(e.now, e.worker(name).id, state, started, zone, cell, kind, 1)
+	w := e.worker(name)
+	if w.listed = e.lists; state != router.Gone {
+		w.gone = 0
+	} else if w.gone == 0 {
+		w.gone = e.now
+	}
+	e.core.Listed(e.now, w.id, state, started, zone, cell, kind, 1)
 	return nil
 }
 
 // ListEnds closes the list.
-func (e *Engine) ListEnds() { e.core.ListEnds(e.now) }
+func (e *Engine) ListEnds() {
+	for _, w := range e.workers {
+		if e.whole && w.listed != e.lists && w.gone == 0 {
+			w.gone = e.now
+		}
+	}
+	e.core.ListEnds(e.now)
+}
 
 // Held answers a load order; one that is unknown or over is passed over.
 func (e *Engine) Held(id OrderID, o router.Outcome, copies int) {
@@ -585,7 +630,10 @@
 		return
 	}
 	e.timers.Set(&o.timeOut, e.now+e.orderBy, func(router.Time) { e.Held(id, router.TimedOut, 0) })
-	wk.link.Hold(id, e.names[fn].name, e.names[fn].fn, n)
+	f := e.names[fn]
+	f.used = e.now
+	e.names[fn] = f
+	wk.link.Hold(id, f.name, f.fn, n)
 }
 
 // Listen implements router.Port.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -185,3 +185,36 @@
 		t.Errorf("the link was told %v, the client %v", *link, got)
 	}
 }
+
+// TestForgets: names of functions, and workers that are gone, are kept while something is out, and for a while.
+func TestForgets(t *testing.T) {
+	e, _, _ := rig(1000)
+	var got notes
+	m := &Method{Name: "m", Effect: router.Idempotent, Deadline: 1000}
+	f := e.Take(0, m, 0, "f", Function{}, "", 500, false, nil, nil, &got)
+	f.Left()
+	e.Answered(CallOutID(uint64(f.id)<<8), 1, router.CalledOff, router.Untold, 0, nil, nil, nil)
+	e.Take(0, m, 0, "g", Function{}, "", router.Time(1e9), false, nil, nil, &got)
+	list := func(form router.ListForm, state router.Readiness, names ...string) {
+		e.ListBegins(form, 1)
+		for _, name := range names {
+			if err := e.Listed(name, state, 0, 0, 0, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		e.ListEnds()
+	}
+	list(router.Whole, router.Ready, "a", "b", "c", "d")
+	list(router.Changes, router.Gone, "a", "d")
+	list(router.Whole, router.Ready, "c", "d")
+	for _, c := range []struct {
+		at             router.Time
+		names, workers int
+	}{{1000 + forgetAfter - 1, 2, 5}, {1000 + forgetAfter + forgetLook, 1, 2}} {
+		e.Begin(c.at)
+		e.End()
+		if len(e.names) != c.names || len(e.workers) != c.workers { // the rig's own worker is not in the whole list
+			t.Errorf("at %d: %d names, %d workers, want %d, %d", c.at, len(e.names), len(e.workers), c.names, c.workers)
+		}
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -47,7 +47,7 @@
 //	C check good|bad          it asks whether the front end is ready until it is answered so
 //	C half N [FIELD=VALUE]... it sends the first half of an RPC
 //	C rest                    it sends the other half
-//	C gone | C resets         it closes its connection, with a reset
+//	C gone | C resets | C ends  it closes its connection, with a reset, with a FIN whatever it has not read
 //	C stands                  its connection is open, and nothing came
 //	crowd N                   so many clients connect and say nothing
 //	C < N ok BODY             its next answer is N's: ok with BODY, denied or aborted
@@ -255,6 +255,8 @@
 		_, err = c.nc.Write(c.rest)
 	case "gone":
 		c.nc.Close()
+	case "ends":
+		s.must(c.nc.(*net.TCPConn).CloseWrite())
 	case "resets":
 		s.must(c.nc.(*net.TCPConn).SetLinger(0))
 		c.nc.Close()
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,7 @@
 	askHomes    = 2        // homes asked at once
 	askLasts    = sec      // for so long we don't ask again
 	askWait     = 3 * beat // for so long an answer is waited for
+	forgetAfter = 6e6      // ten minutes: a record goes with nothing heard of it for so long, far beyond its use
 	listenAgain = 1        // token of the timer that asks for the list again
 
 	spread = 0x9e3779b97f4a7c15 // an odd number that spreads ids over all bits
@@ -113,11 +114,11 @@
 	lanes      int
 	load, work float64 // usual time of a load, and on a warm instance
 	out, held  int     // RPCs out and held
-	need       float64 // recent peak of their sum
+	need, size float64 // recent peak of their sum; memory of one copy
 	asked      float64 // work of its RPCs taken lately
 	cost       float64 // mean of the hints' core time, 0 without hints
-	needAt     Time
-	errors     int // load errors in a row
+	needAt     Time    // when one was last taken
+	errors     int     // load errors in a row
 	backoff    Time
 	loadNext   Time // no load before
 	askNext    Time // no asking before
@@ -141,7 +142,7 @@
 	zone              ZoneID
 	cell              CellID
 	kind              KindID
-	started           Time
+	started, goneAt   Time // goneAt: 0 while it is not gone
 	known, listed     bool // started is a real start, not "long ago"; the list now coming names it
 	holds             map[FunctionID]*instance
 	active            int
@@ -368,7 +369,7 @@
 	fn := r.fns[fid]
 	if fn == nil {
 		fn = &function{id: fid, load: cmp.Or(float64(load), r.load, float64(min(priorLoad, r.methods[m].soft))),
-			work: r.methods[m].work, backoff: loadBackMin}
+			work: r.methods[m].work, size: memory, backoff: loadBackMin}
 		r.fns[fid] = fn
 		r.seen += memory
 	}
@@ -985,7 +986,7 @@
 // Held answers a load order.
 func (r *Router) Held(now Time, id WorkerID, fid FunctionID, o Outcome, copies int, took Time) {
 	r.now, r.dirty = now, true
-	w, fn := r.workers[id], r.fns[fid]
+	w, fn := r.record(id), r.fns[fid]
 	in := w.holds[fid]
 	if in == nil || in.asked {
 		delete(w.holds, fid)
@@ -1018,7 +1019,7 @@
 // Checked answers a check: one that passed lets an RPC try the worker.
 func (r *Router) Checked(now Time, id WorkerID, o Outcome, _ Time, report []float64) {
 	r.now, r.dirty = now, true
-	w := r.workers[id]
+	w := r.record(id)
 	w.checking = false
 	if w.report(r, report); o != OK && w.ill != "" {
 		w.sicken(r, w.ill, 0)
@@ -1052,6 +1053,7 @@
 		fn.asked -= fn.asked * float64(beat) / float64(askedFade)
 	}
 	r.asked -= r.asked * float64(beat) / float64(askedFade)
+	r.forget()
 	r.mayOrder() // drops what lies before its window
 	r.count()
 	r.watchSilence()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -256,3 +256,62 @@
 	s.did = s.did[1:]
 	return nil
 }
+
+// TestForgets: functions that nobody asks for and workers that are gone leave no record; what is out, or held, does.
+func TestForgets(t *testing.T) {
+	s := &stage{t: t, names: map[RPCID]string{}}
+	now := Time(1e6)
+	r := New(s, now, 1, Settings{"may.call-outs": 3., "functions.on-miss": "load", "functions.memory.0": 8000., "methods": 1.,
+		"methods.0.soft-deadline": 1e4, "methods.0.deadline": 1e8, "methods.0.effect": Idempotent, "functions.keep-alive": 1e5})
+	to := func(then Time) {
+		for ; now < then; now += beat {
+			r.Reminded(now, 0)
+			r.Settle(now)
+		}
+	}
+	list := func(state Readiness, workers ...WorkerID) {
+		r.ListBegins(now, Changes, 1)
+		for _, w := range workers {
+			r.Listed(now, w, state, 0, 0, 0, 0, 1)
+		}
+		r.ListEnds(now)
+	}
+	list(Ready, 1, 2)
+	open := map[FunctionID]*RPC{}
+	for fn := FunctionID(1); fn <= 9; fn++ {
+		s.names[RPCID(fn)] = fmt.Sprint(fn)
+		open[fn] = r.Take(now, RPCID(fn), 0, 0, fn, 1e8, 0, 100, 2, 0, false)
+		r.Settle(now)
+		to(now + sec)
+	}
+	if len(r.fns) != 9 || r.seen != 900 || len(s.did) == 0 {
+		t.Fatalf("%d functions, memory %g, did %v", len(r.fns), r.seen, s.did)
+	}
+	for fn, p := range open {
+		if fn != 9 {
+			p.Left(now)
+			for n := range p.calls {
+				p.Ended(now, n, p.calls[n].w.id, OK, true, BeganLoad, 0, sec, nil)
+			}
+		}
+	}
+	list(Gone, 2)
+	to(now + forgetAfter/2)
+	if len(r.fns) != 9 || r.workers[2] == nil {
+		t.Errorf("forgotten too early: %d functions, worker 2 %v", len(r.fns), r.workers[2])
+	}
+	to(now + forgetAfter)
+	if len(r.fns) != 1 || r.fns[9] == nil || r.seen != 100 {
+		t.Errorf("%d functions, memory %g; one has an RPC", len(r.fns), r.seen)
+	}
+	if len(r.workers) != 1 || len(r.list) != 1 || r.workers[1] == nil {
+		t.Errorf("%d workers, %d in the list", len(r.workers), len(r.list))
+	}
+	r.Held(now, 2, 5, OK, 1, sec) // answers that come very late
+	r.Checked(now, 2, Errored, sec, []float64{1})
+	list(Ready, 2)
+	r.Settle(now)
+	if len(r.workers) != 2 || len(r.workers[2].holds) > 0 {
+		t.Error("worker 2 is not back as new")
+	}
+}
