What was sent to a cold worker counts on when it is told, or believed, to have begun anew

Cause, from reading: worker.restart cleared 'sent', the budget of rule four, at each refused connection and each told start. A worker whose connections are all taken refuses one without having ended; its budget then began afresh within the window. Entries older than the window go by themselves (coldRoom), so nothing has to be cleared.

--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -124,9 +124,12 @@
 // TestPlatformToldTwice: told twice to leave it still answers what it holds, and ends well.
 func TestPlatformToldTwice(t *testing.T) {
 	came, answer := make(chan bool, 1), make(chan bool)
-	worker := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+	worker := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
 		came <- true
-		<-answer
+		select {
+		case <-answer:
+		case <-in.Context().Done():
+		}
 		_, _ = io.WriteString(out, "hold7")
 	}))
 	defer worker.Close()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -104,7 +104,7 @@
 // rig is an engine with one worker, whose module sends all there.
 func rig(now router.Time) (e *Engine, m *script, link *notes) {
 	m, link = &script{}, &notes{}
-	e = New(Options{Settings: router.Settings{"may.call-outs": 3.}, Now: now, Log: func(string) {},
+	e = New(Options{Settings: router.Settings{"may.call-outs": 3., "may.overlap": true}, Now: now, Log: func(string) {},
 		Module: func(port router.Port, _ router.Time, _ int64, _ router.Settings) core.Module { m.port = port; return m }})
 	w := e.worker("w")
 	delete(e.workers, w.id)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,9 +21,11 @@
 )
 
 const (
-	wait      = time.Second            // how long the service may hold an ask; silence is noticed soon after
-	slackMin  = 300 * time.Millisecond // for a connection, and for the answer's way beyond the wait; doubling while
-	slackMost = 3 * time.Second        // answers are late: a service that is slow each time must get through at last
+	wait = time.Second // how long the service may hold an ask; silence is noticed soon after
+	// For a connection, and for an answer's way beyond the wait; doubling while answers are late: a service that is slow
+	// each time must get through at last. What a silent service has to tell counts as told 2 s after the wait.
+	slackMin  = 300 * time.Millisecond
+	slackMost = 4 * slackMin
 	pauseMin  = 10 * time.Millisecond  // before asking again after a break, doubling
 	pauseMost = 200 * time.Millisecond // last one
 	bodyMost  = 4 << 20                // of one answer
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -238,10 +238,12 @@
 // heap is what Go's collector keeps its own under.
 func (c *Config) heap() int64 { return int64(c.MemoryMB * heapPart * (1 << 20)) }
 
-// longest is the longest deadline of a method.
+// longest is the longest deadline of a method that there still is: the platform kills us by these.
 func (c *Config) longest() (most time.Duration) {
 	for _, m := range c.Methods {
-		most = max(most, turn.Duration(m.Deadline))
+		if !m.Gone {
+			most = max(most, turn.Duration(m.Deadline))
+		}
 	}
 	return most
 }
--- a/router/router.go
+++ b/router/router.go
@@ -356,9 +356,9 @@
 	}
 }
 
-// restart forgets what stood on a worker that began anew: it is empty and cold.
+// restart forgets what stood on a worker that began anew: it is empty and cold. What was sent there counts on.
 func (w *worker) restart(at Time) {
-	w.started, w.known, w.sent, w.errors, w.slow = at, true, nil, 0, 1
+	w.started, w.known, w.errors, w.slow = at, true, 0, 1
 	clear(w.holds)
 }
 
