--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -129,12 +129,13 @@
 // the one longest without an open RPC, else one whose message has been half there for long. It guards usual clients
 // against those that connect by hundreds and say nothing. It tells whether there was one.
 func (s *Server) giveWay() bool {
+	stay := map[*conn]bool{} // a message of it came meanwhile
 	for half := time.Duration(0); half <= halfRead; half += halfRead {
 		for {
 			s.mu.Lock()
 			var victim *conn
 			for c := range s.conns {
-				if c.idle(half) && (victim == nil || c.before(victim)) {
+				if !stay[c] && c.idle(half) && (victim == nil || c.before(victim)) {
 					victim = c
 				}
 			}
@@ -142,9 +143,10 @@
 			if victim == nil {
 				break
 			}
-			if victim.closeIdle(half) { // else a message of it came meanwhile
+			if victim.closeIdle(half) {
 				return true
 			}
+			stay[victim] = true
 		}
 	}
 	return false
--- a/internal/thrift/server_test.go
+++ b/internal/thrift/server_test.go
@@ -189,7 +189,7 @@
 
 // TestUnread: bytes that came, and that no reader has seen, keep a connection from being closed.
 func TestUnread(t *testing.T) {
-	s := &Server{o: Options{Log: zerolog.Nop()}}
+	s := &Server{o: Options{Log: zerolog.Nop()}, conns: map[*conn]bool{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -208,6 +208,17 @@
 	if c.closeIdle(0) {
 		t.Fatal("closed with a byte unread")
 	}
+	s.conns[c] = true
+	gave := make(chan bool, 1)
+	go func() { gave <- s.giveWay() }()
+	select {
+	case is := <-gave:
+		if is {
+			t.Fatal("it gave way with a byte unread")
+		}
+	case <-time.After(patience):
+		t.Fatal("a connection that can't give way is tried for ever")
+	}
 	if _, err := io.ReadFull(nc, make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
