--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -175,9 +175,13 @@
 	}
 	l.Close()
 	nc := connect(t, l.Addr().String())
-	send(t, nc, "check", 1, nil)
-	if got := receive(t, nc); !bytes.Contains(got, []byte{wire.BOOL, 0, 3, 1}) {
-		t.Errorf("it is not ready: %q", got)
+	for seq, until := int32(1), time.Now().Add(patience); ; seq++ {
+		send(t, nc, "check", seq, nil)
+		if got := receive(t, nc); bytes.Contains(got, []byte{wire.BOOL, 0, 3, 1}) {
+			break
+		} else if time.Now().After(until) {
+			t.Fatalf("it is not ready: %q", got)
+		}
 	}
 	_ = cmd.Process.Kill()
 	<-ended
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -59,6 +59,7 @@
 //	W nothing MS              no message comes to W for so long
 //	W late | W up             connections to W come up from now on, but the front end hears of it only at 'up'
 //	W dialled                 one has come up that it has not heard of
+//	W dropped                 the front end waits for that one no more
 //	W empty                   a connection to W ends that nothing came on
 //	W other                   the last message came on another connection than the one before
 //	wait MS
@@ -136,8 +137,9 @@
 	last net.Conn
 	was  net.Conn  // of the message before
 	ends chan bool // a connection ended; true: nothing had come on it
-	late chan bool // nil: connections are told of at once; else once it is closed
+	late chan bool // nil: connections are told of at once; else once it is closed; under the stage's lock
 	up   chan bool // one waits for that
+	drop chan bool // nobody waits for that one any more
 	mu   sync.Mutex
 	all  []net.Conn
 }
@@ -301,9 +303,19 @@
 			s.fail("nothing came")
 		}
 	case "late":
+		s.mu.Lock()
 		w.late = make(chan bool)
+		s.mu.Unlock()
 	case "up":
+		s.mu.Lock()
 		close(w.late)
+		s.mu.Unlock()
+	case "dropped":
+		select {
+		case <-w.drop:
+		case <-time.After(patience):
+			s.fail("it is still waited for")
+		}
 	case "dialled":
 		select {
 		case <-w.up:
@@ -367,7 +379,8 @@
 	}
 	l, err := net.Listen("tcp", address)
 	s.must(err)
-	w := &worker{l: l, came: make(chan message, 64), ends: make(chan bool, 64), up: make(chan bool, 64)}
+	w := &worker{l: l, came: make(chan message, 64), ends: make(chan bool, 64), up: make(chan bool, 64),
+		drop: make(chan bool, 64)}
 	s.mu.Lock()
 	s.workers[name] = w
 	s.mu.Unlock()
@@ -563,16 +576,19 @@
 func (s *stage) Dial(ctx context.Context, address string, within time.Duration) (*hop.Conn, error) {
 	s.mu.Lock()
 	var to *worker
+	var late chan bool
 	for _, w := range s.workers {
 		if w.l.Addr().String() == address {
-			to = w
+			to, late = w, w.late
 		}
 	}
 	s.mu.Unlock()
 	conn, err := hop.Dial(context.WithoutCancel(ctx), address, within)
-	if to != nil && to.late != nil && err == nil {
+	if late != nil && err == nil {
+		stop := context.AfterFunc(ctx, func() { to.drop <- true })
+		defer stop()
 		to.up <- true
-		<-to.late
+		<-late
 	}
 	return conn, err
 }
