Looking at a socket, and names that stand twice, are told in one place each

Read over, behaviour as before. The look at the next byte stood in hop and sock, the write that doesn't wait as well: both are sock's now (peek, Write), and a client's connection asks its Writer in place of a second handle. firstTwice was ident.Distinct. ListEnds walks the workers for whole lists alone; what makes an end 'local' is one list; the settings' second reading starts from nothing plainly.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -489,9 +489,11 @@
 
 // ListEnds closes the list.
 func (e *Engine) ListEnds() {
-	for _, w := range e.workers {
-		if e.whole && w.listed != e.lists && w.gone == 0 {
-			w.gone = e.now
+	if e.whole {
+		for _, w := range e.workers {
+			if w.listed != e.lists && w.gone == 0 {
+				w.gone = e.now
+			}
 		}
 	}
 	e.core.ListEnds(e.now)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"mallowlanding/internal/sock"
 )
 
 // Bounds of an answer.
@@ -68,16 +68,7 @@
 // Clean tells whether the connection may be used again: it stands, and nothing came on it that nobody asked for. It
 // doesn't wait.
 func (c *Conn) Clean() bool {
-	if c.in.Buffered() > 0 {
-		return false
-	}
-	clean := false
-	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		clean = err == unix.EAGAIN
-	})
-	return err == nil && clean
+	return c.in.Buffered() == 0 && sock.Quiet(c.raw)
 }
 
 // Offer writes what the socket takes of a message at once and tells how many bytes that were. It doesn't wait, so that
@@ -86,18 +77,10 @@
 	if err := c.nc.SetDeadline(by); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	var fault error
-	err = c.raw.Write(func(fd uintptr) bool {
-		n, fault = unix.Write(int(fd), message)
-		return true
-	})
-	if fault == unix.EAGAIN || fault == unix.EINTR {
-		fault = nil
-	}
-	if err = errors.Join(err, fault); err != nil {
+	if n, err = sock.Write(c.raw, message); err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return max(n, 0), nil
+	return n, nil
 }
 
 // Exchange sends a message, or what Offer left of it, and reads its answer, whose body has bodyMost bytes at most. After
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -253,11 +253,8 @@
 	began := time.Now()
 	a, conn, again, err := x.try(conn)
 	e := end{Answer: a, err: err}
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
-		e.local = true
-	}
-	if errors.Is(err, errUnwanted) { // it tells nothing of the worker
-		e.local = true
+	for _, ours := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, errUnwanted} {
+		e.local = e.local || errors.Is(err, ours) // it tells nothing of the worker
 	}
 	if err != nil && conn != nil {
 		conn.Close()
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -130,6 +130,24 @@
 	}
 }
 
+// goes: the connection that waits at the gate comes up, and the message goes out on it and is answered.
+func (r *rig) goes(ended chan end) {
+	r.t.Helper()
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.ends(ended, router.OK)
+}
+
+// nothingGoes: it comes up too late, and carries nothing.
+func (r *rig) nothingGoes(ended chan end) {
+	r.t.Helper()
+	r.gate <- true
+	r.sees("")
+	r.ends(ended, router.Full)
+	r.counted(0)
+}
+
 // counted: no connection is counted that has ended, and none that stands is not.
 func (r *rig) counted(want int) {
 	r.t.Helper()
@@ -147,10 +165,7 @@
 	_, ended := r.message(patience)
 	<-r.up
 	r.turn(func() { r.s.Unwant("w") })
-	r.gate <- true
-	r.sees("")
-	r.ends(ended, router.Full)
-	r.counted(0)
+	r.nothingGoes(ended)
 
 	r = newRig(t)
 	_, ended = r.message(patience)
@@ -194,10 +209,7 @@
 	x, ended := r.message(patience)
 	<-r.up
 	r.turn(x.giveUp)
-	r.gate <- true
-	r.sees("")
-	r.ends(ended, router.Full)
-	r.counted(0)
+	r.nothingGoes(ended)
 }
 
 // TestTimeUpAgainstDial: a connection that comes up after the message's time carries nothing.
@@ -206,20 +218,14 @@
 	x, ended := r.message(20 * time.Millisecond)
 	<-r.up
 	time.Sleep(time.Until(x.by)) // the order is chosen: the gate opens after it
-	r.gate <- true
-	r.sees("")
-	r.ends(ended, router.Full)
-	r.counted(0)
+	r.nothingGoes(ended)
 }
 
-// TestIdleReset: a message on a connection that its worker has closed goes out on another, once.
-func TestIdleReset(t *testing.T) {
+// TestRest: a used connection is used again once it has rested, and not before.
+func TestRest(t *testing.T) {
 	r := newRig(t)
 	_, ended := r.message(patience)
-	<-r.up
-	r.gate <- true
-	r.sees("PUT /v2/q/f/1")
-	r.ends(ended, router.OK)
+	r.goes(ended)
 	var was *hop.Conn
 	r.turn(func() {
 		l := r.s.links["w"]
@@ -235,10 +241,7 @@
 		}
 	})
 	_, ended = r.message(patience) // not rested: a new one
-	<-r.up
-	r.gate <- true
-	r.sees("PUT /v2/q/f/1")
-	r.ends(ended, router.OK)
+	r.goes(ended)
 	r.counted(2)
 }
 
@@ -247,10 +250,7 @@
 	r := newRig(t)
 	for range 3 {
 		_, ended := r.message(patience)
-		<-r.up
-		r.gate <- true
-		r.sees("PUT /v2/q/f/1")
-		r.ends(ended, router.OK)
+		r.goes(ended)
 	}
 	r.counted(3)
 	r.turn(func() {
@@ -259,10 +259,7 @@
 		r.s.Renew(o)
 	})
 	_, ended := r.message(patience)
-	<-r.up
-	r.gate <- true
-	r.sees("PUT /v2/q/f/1")
-	r.ends(ended, router.OK)
+	r.goes(ended)
 	r.counted(2)
 }
 
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -15,6 +15,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/front"
+	"mallowlanding/internal/ident"
 	"mallowlanding/internal/site"
 	"mallowlanding/internal/terms"
 	"mallowlanding/internal/thrift"
@@ -119,8 +120,8 @@
 // take reads the settings. Gone are the places of methods and customers that were removed, by list and place.
 func (c *Config) take(gone map[string]map[int]bool) error {
 	for _, list := range site.Lists {
-		if twice, is := firstTwice(site.Names(c.settings, list)); is {
-			return fmt.Errorf(`"settings": %q: %q stands twice`, list, twice)
+		if err := ident.Distinct(site.Names(c.settings, list), func(name string) string { return name }); err != nil {
+			return fmt.Errorf(`"settings": %q: %w`, list, err)
 		}
 	}
 	c.Module = site.Flat(c.settings)
@@ -129,9 +130,7 @@
 	for i := range gone[site.Customers] {
 		c.Customers[i] = ""
 	}
-	if c.Methods = nil; len(c.Values) > 0 {
-		c.Values = nil
-	}
+	c.Methods, c.Values = nil, nil // of the settings as they were read
 	if err := c.readMethods(site.Names(c.settings, site.Methods)); err != nil {
 		return err
 	}
@@ -149,18 +148,6 @@
 	return c.take(gone)
 }
 
-// firstTwice is the first name that stands twice in a list.
-func firstTwice(names []string) (string, bool) {
-	seen := map[string]bool{}
-	for _, name := range names {
-		if seen[name] {
-			return name, true
-		}
-		seen[name] = true
-	}
-	return "", false
-}
-
 // readJournal reads the journal service's address alone, out of a file that need not be right, nor whole; empty: it
 // can't be told.
 func readJournal(path string) (address string) {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -2,13 +2,15 @@
 package sock
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// Writer writes to a connection as far as its socket takes bytes at once. Nobody else may be writing meanwhile.
+// Writer writes to a connection as far as its socket takes bytes at once, and tells what its socket knows of the peer.
+// Nobody else may be writing meanwhile.
 type Writer struct{ raw syscall.RawConn }
 
 // NewWriter makes a writer for a socket's connection; for another kind of connection it takes nothing.
@@ -27,26 +29,56 @@
 	if w.raw == nil {
 		return 0
 	}
-	_ = w.raw.Write(func(fd uintptr) bool {
-		n, _ = unix.Write(int(fd), b)
+	n, _ = Write(w.raw, b)
+	return n
+}
+
+// Write writes what the socket takes now and tells how many bytes that were; that it takes none is no error.
+func Write(raw syscall.RawConn, b []byte) (n int, err error) {
+	var fault error
+	err = raw.Write(func(fd uintptr) bool {
+		n, fault = unix.Write(int(fd), b)
 		return true
 	})
-	return max(n, 0)
+	if fault == unix.EAGAIN || fault == unix.EINTR {
+		fault = nil
+	}
+	return max(n, 0), errors.Join(err, fault)
 }
 
 // Unread tells whether bytes came that nobody has read.
-func Unread(raw syscall.RawConn) (unread bool) {
-	_ = raw.Control(func(fd uintptr) {
+func (w Writer) Unread() bool {
+	if w.raw == nil {
+		return false
+	}
+	n, err := peek(w.raw)
+	return err == nil && n > 0
+}
+
+// Quiet tells whether the connection stands, and nothing came that nobody has read.
+func Quiet(raw syscall.RawConn) bool {
+	_, err := peek(raw)
+	return err == unix.EAGAIN
+}
+
+// peek looks at the next byte and leaves it there; 0 bytes: the peer has ended its side.
+func peek(raw syscall.RawConn) (n int, err error) {
+	gone := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && n > 0
+		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return unread
+	if gone != nil {
+		return 0, gone
+	}
+	return n, err
 }
 
 // HungUp tells whether the peer has closed the connection, also where bytes that came before are unread.
-func HungUp(raw syscall.RawConn) (hungUp bool) {
-	err := raw.Control(func(fd uintptr) {
+func (w Writer) HungUp() (hungUp bool) {
+	if w.raw == nil {
+		return false
+	}
+	err := w.raw.Control(func(fd uintptr) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(look, 0)
 		hungUp = err == nil && n > 0
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -10,7 +10,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"mallowlanding/internal/engine"
@@ -25,7 +24,6 @@
 	s       *Server
 	nc      net.Conn
 	now     sock.Writer
-	raw     syscall.RawConn
 	since   atomic.Int64 // when it last sent a message or had an answer, Unix ns
 	spoke   atomic.Bool  // it sent a whole message
 	strikes atomic.Int32 // messages that could not be served, one after the other
@@ -59,9 +57,6 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{s: s, nc: nc, now: sock.NewWriter(nc), asks: map[int32]*pending{}}
 	c.since.Store(time.Now().UnixNano())
-	if sc, is := nc.(syscall.Conn); is {
-		c.raw, _ = sc.SyscallConn()
-	}
 	return c
 }
 
@@ -85,7 +80,7 @@
 func (c *conn) closeIdle(half time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idleNow(half) || c.reading.IsZero() && c.raw != nil && sock.Unread(c.raw) {
+	if !c.idleNow(half) || c.reading.IsZero() && c.now.Unread() {
 		return false
 	}
 	c.closing = true
@@ -204,7 +199,7 @@
 func (c *conn) rest() (gone bool) {
 	for until := time.Now().Add(strikeRest); time.Now().Before(until) && !gone; {
 		time.Sleep(strikeLook)
-		gone = c.raw != nil && sock.HungUp(c.raw)
+		gone = c.now.HungUp()
 	}
 	return gone
 }
