Front ends that start are no longer held back by loads that find copies

Checked: a reason for each refusal, now a typed value in the debug log.

At fault: Router.loaded took each load to find no copy until sixteen had shown otherwise, and counted loads that another front end's RPC had begun; RPC.share guessed 5% for a function seen once, which at 111 workers is 17 homes for each, in each front end's own order, so that copies push each other out; RPC.homes passed over a worker by a report that nothing renews. Ruled out as what refuses: the budget of cold workers, never the last bound (it does move loads to later homes).

Change: loads that found no copy are counted evenly from the first on, from one half; joined loads are not counted; a failed one begins the count anew at one. The guess is 1% and weighs 100 RPCs: under 1% is what half of first RPCs are for where hundreds of functions share the traffic. A report tells of a busy worker for a second.

Each change was taken out once and its test seen red.

--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -208,10 +208,10 @@
 func (r *rpc) giveUp() {
 	r.over = true
 	if r.may && (r.m.effect == router.SideEffecting || r.m.effect == router.Tokened && r.m.group != "all") {
-		r.p.port.Abort(r.id)
+		r.p.port.Abort(r.id, router.NoTime)
 		return
 	}
-	r.p.port.Deny(r.id, r.p.back)
+	r.p.port.Deny(r.id, r.p.back, router.NoTime)
 }
 
 // Ended implements core.Handle.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -166,6 +166,7 @@
 	later   []func()
 	counts  Counts
 	listen  func()
+	givenUp func(*RPC, router.Reason)
 	wanted  *leave.Wanted[OrderID]
 	lists   uint64      // of workers, that came
 	whole   bool        // the last of them
@@ -178,19 +179,23 @@
 	Settings router.Settings
 	Seed     int64
 	Now      router.Time
-	Margin   router.Time       // kept of each RPC's time for the answer's way to the client
-	Log      func(text string) // the module's lines for those on call
-	Module   core.Make         // nil: the router
-	CallOff  router.Time       // how long workers have to tell what came of a call-off
-	Listen   func()            // the module asks for changes of the list; nil: they come by themselves
+	Margin   router.Time                     // kept of each RPC's time for the answer's way to the client
+	Log      func(text string)               // the module's lines for those on call
+	Module   core.Make                       // nil: the router
+	CallOff  router.Time                     // how long workers have to tell what came of a call-off
+	Listen   func()                          // the module asks for changes of the list; nil: they come by themselves
+	GivenUp  func(p *RPC, why router.Reason) // the module gives an RPC up; nil: nobody wants to know
 }
 
 // New starts an engine at o.Now.
 func New(o Options) *Engine {
 	e := &Engine{log: o.Log, now: o.Now, margin: o.Margin, rpcs: map[router.RPCID]*RPC{},
 		workers: map[router.WorkerID]*worker{}, names: map[router.FunctionID]named{},
-		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen,
+		orders: map[OrderID]*order{}, checks: map[CheckID]*check{}, listen: o.Listen, givenUp: o.GivenUp,
 		wanted: leave.NewWanted[OrderID](), within: o.CallOff}
+	if e.givenUp == nil {
+		e.givenUp = func(*RPC, router.Reason) {}
+	}
 	e.heed(o.Settings)
 	e.core = core.New(o.Module, (*port)(e), o.Now, o.Seed, o.Settings)
 	return e
@@ -345,6 +350,9 @@
 	}
 }
 
+// CallOuts is how many call-outs the RPC has had.
+func (p *RPC) CallOuts() int { return len(p.calls) }
+
 // MayDeny tells whether a client that stops waiting while the RPC goes on may be told that a retry is harmless.
 func (p *RPC) MayDeny() bool { return p.leave.Overdue() == leave.Deny }
 
@@ -558,8 +566,9 @@
 }
 
 // Deny implements router.Port.
-func (pt *port) Deny(rpc router.RPCID, comeBack router.Time) {
+func (pt *port) Deny(rpc router.RPCID, comeBack router.Time, why router.Reason) {
 	if p := pt.rpcs[rpc]; p != nil && !p.closed {
+		pt.givenUp(p, why)
 		p.close()
 		pt.counts.Denied++
 		p.client.Denied(comeBack)
@@ -569,8 +578,9 @@
 }
 
 // Abort implements router.Port.
-func (pt *port) Abort(rpc router.RPCID) {
+func (pt *port) Abort(rpc router.RPCID, why router.Reason) {
 	if p := pt.rpcs[rpc]; p != nil && !p.closed {
+		pt.givenUp(p, why)
 		p.close()
 		pt.counts.Aborted++
 		p.client.Aborted(p.cause)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"mallowlanding/internal/core"
+	"mallowlanding/internal/terms"
 	"mallowlanding/router"
 )
 
@@ -218,3 +219,22 @@
 		}
 	}
 }
+
+// TestGivenUpTellsWhy: who runs a front end sees which bound held an RPC that is refused.
+func TestGivenUpTellsWhy(t *testing.T) {
+	told := []router.Reason{}
+	e := New(Options{Now: 1e6, Log: func(string) {}, GivenUp: func(_ *RPC, why router.Reason) { told = append(told, why) },
+		Settings: router.Settings{terms.Methods: 1.0, terms.At(terms.Methods, 0, terms.Effect): router.Idempotent,
+			terms.Path(terms.May, terms.CallOuts): 3.0}})
+	now := router.Time(1e6)
+	e.Begin(now)
+	p := e.Take(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 30000}, 0, "f", Function{Lanes: 1}, "", 30000, false, nil, nil, idle{})
+	e.End()
+	for end := now + 30000; now < end && e.Counts().Open > 0; now += 100 {
+		e.Begin(now)
+		e.End()
+	}
+	if len(told) != 1 || told[0] != router.NotReady || p.CallOuts() != 0 {
+		t.Errorf("told %v after %d call-outs", told, p.CallOuts())
+	}
+}
--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -307,7 +307,7 @@
 }
 
 // Deny implements router.Port.
-func (in *instance) Deny(rpc router.RPCID, comeBack router.Time) {
+func (in *instance) Deny(rpc router.RPCID, comeBack router.Time, _ router.Reason) {
 	out := in.act(20)
 	out.u32(uint32(rpc))
 	out.u64(ns(comeBack))
@@ -315,7 +315,7 @@
 }
 
 // Abort implements router.Port.
-func (in *instance) Abort(rpc router.RPCID) {
+func (in *instance) Abort(rpc router.RPCID, _ router.Reason) {
 	in.act(30).u32(uint32(rpc))
 	in.router.Release(rpc)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -105,7 +105,8 @@
 	f.loop.Pace(c.pace())
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
-		Log: func(text string) { f.log.Info().Str("from", "module").Msg(text) }})
+		Log:     func(text string) { f.log.Info().Str("from", "module").Msg(text) },
+		GivenUp: f.logGivenUp})
 	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
 	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
 	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Bounds: c.bounds(), Ready: f.ready, Log: f.log})
@@ -228,6 +229,12 @@
 	}
 }
 
+// logGivenUp tells at debug level which bound last held an RPC that the module gives up on.
+func (f *FrontEnd) logGivenUp(p *engine.RPC, why router.Reason) {
+	f.log.Debug().Str("ticket", p.Ticket).Str("method", p.Method.Name).Str("what", p.Function).Stringer("reason", why).
+		Int("call_outs", p.CallOuts()).Msg("given up")
+}
+
 // compare logs each second what the module believes beside what the sockets carry.
 func (f *FrontEnd) compare(ctx context.Context) {
 	for {
--- a/router/port.go
+++ b/router/port.go
@@ -64,6 +64,37 @@
 	Failed
 )
 
+// Reason is the bound that last kept an RPC from going out, told when it is given up on.
+type Reason uint8
+
+const (
+	NoTime        Reason = iota // none: too little time was left, or its attempts are over
+	FleetShare                  // our share of RPCs out in the whole fleet
+	FunctionOrder               // an RPC of its function before it found no place
+	Attempts                    // the attempts that the settings allow
+	Lanes                       // all copies' lanes are taken, or only loads are under way
+	Asking                      // a worker is asked whether it has a copy
+	LoadTime                    // a load would take longer than its client waits
+	FunctionCap                 // the cap of the function's copies
+	FleetCap                    // the cap of all copies
+	LoadBackoff                 // loads of the function failed or timed out
+	LoadPace                    // our share of loads
+	ColdWorkers                 // most workers: what a cold one may be sent
+	IllWorkers                  // most workers: ill
+	Repeats                     // most workers: it may have run, or was there a moment ago
+	WorkerShare                 // most workers: full, or with our share of RPCs
+	BusyWorkers                 // most workers: more work or memory in use than others
+	NotReady                    // most workers: not ready, or there are none
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{"no-time", "fleet-share", "function-order", "attempts", "lanes", "asking", "load-time",
+	"function-cap", "fleet-cap", "load-backoff", "load-pace", "cold-workers", "ill-workers", "repeats",
+	"worker-share", "busy-workers", "not-ready"}
+
+// String is the reason's name in logs.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Effects of a method, as the settings name them.
 const (
 	Idempotent    = "idempotent"
@@ -77,13 +108,13 @@
 
 // Port is what the module acts through.
 type Port interface {
-	Send(rpc RPCID, w WorkerID, limit Time) // a new call-out; limit 0: until the client's time is up
-	Deny(rpc RPCID, comeBack Time)          // final answer: a retry is harmless
-	Abort(rpc RPCID)                        // final answer: promises nothing
-	Retract(rpc RPCID, n int)               // call off the RPC's n-th call-out
-	Remind(after Time, token uint64)        // ask for Router.Reminded
-	Check(w WorkerID)                       // probe a worker
-	Hold(w WorkerID, fn FunctionID, n int)  // order at least n copies held
-	Listen()                                // ask for changes of the list from now on
-	Log(text string)                        // one line for those on call
+	Send(rpc RPCID, w WorkerID, limit Time)    // a new call-out; limit 0: until the client's time is up
+	Deny(rpc RPCID, comeBack Time, why Reason) // final answer: a retry is harmless
+	Abort(rpc RPCID, why Reason)               // final answer: promises nothing
+	Retract(rpc RPCID, n int)                  // call off the RPC's n-th call-out
+	Remind(after Time, token uint64)           // ask for Router.Reminded
+	Check(w WorkerID)                          // probe a worker
+	Hold(w WorkerID, fn FunctionID, n int)     // order at least n copies held
+	Listen()                                   // ask for changes of the list from now on
+	Log(text string)                           // one line for those on call
 }
--- a/router/router.go
+++ b/router/router.go
@@ -39,8 +39,10 @@
 	zoneSpare   = 3        // a zone's memory over that of all functions in use, for loads to stay in the zone
 	servedFade  = 5 * sec  // time over which the work of warm workers is averaged
 	askedFade   = 20 * sec // time over which the work asked for is averaged, for a function's share of it
-	shareBefore = 0.05     // share of the work of a function seen for the first time: such are often popular
-	shareWeight = 20       // RPCs that this guess weighs as much as
+	shareBefore = 0.01     // share of the work of a function seen for the first time: such are often popular
+	shareWeight = 100      // RPCs that this guess weighs as much as: fewer tell little of a share so small
+	realOver    = 16       // loads over which the part that found no copy is averaged; the first ones evenly
+	reportLasts = sec      // for so long a report tells that a worker is busy: where nothing is sent, none comes
 	hintTrust   = 0.5      // part of a hint's deviation from its function's mean that is believed
 	repeatWorks = 3        // a client's repeat is worth sending with so many usual times left
 	coldStretch = 1.5      // what warm workers could do over what they are seen to do, at the least
@@ -71,124 +73,36 @@
 
 // Router is the decision module of one front end.
 type Router struct {
-	port            Port
-	rng             *rand.Rand
-	now, born, turn Time // turn: when we last settled
-	set             Settings
-	zone            ZoneID
-	methods         []*method
-	customers       []*customer
-	workers         map[WorkerID]*worker
-	list            []*worker // by id
-	fns             map[FunctionID]*function
-	seen            float64 // memory of one copy of each function
-	held, out       []*RPC  // in order of arrival; with a call-out out
-	orders, taken   []Time  // load orders and RPCs taken within the ration's window
-	pending, total  int     // loads under way; they and all instances
-	room, totalCap  float64 // the caps of both: learned from the store; what the workers' memory holds
-	room0, tokens   float64 // our share of two loads a worker; loads that may begin now
-	tokensAt        Time
-	could           map[KindID]float64 // what a warm worker of the kind does for us, or did when there was one
-	slow, real      float64            // workers' median slowness, 1 or more; part of loads that found no copy
-	asked, load     float64            // work of RPCs taken lately; mean time of loads, 0 before any was seen
-	ease            float64            // how many times our even share of the fleet we may use
-	near, allIll    bool               // loads stay in the zone; health is ignored
-	dirty, beats    bool               // settling is due, with housekeeping
-}
-
-type method struct {
-	gain, lateShare float64
-	soft, window    Time
-	deadline, most  Time // of all tries of a client; the longest budget seen of one
-	effect, group   string
-	work, cost      float64 // mean time on a warm instance; mean of the hints' core time, 0 without hints
-}
-
-type customer struct {
-	quota, tokens float64 // this front end's part of the share, per unit of time; what is left of it
-	at            Time
-}
-
-type function struct {
-	id         FunctionID
-	lanes      int
-	load, work float64 // usual time of a load, and on a warm instance
-	out, held  int     // RPCs out and held
-	need, size float64 // recent peak of their sum; memory of one copy
-	asked      float64 // work of its RPCs taken lately
-	cost       float64 // mean of the hints' core time, 0 without hints
-	needAt     Time    // when one was last taken
-	errors     int     // load errors in a row
-	backoff    Time
-	loadNext   Time // no load before
-	askNext    Time // no asking before
-}
-
-// instance is what is believed of one function's copies on one worker.
-type instance struct {
-	copies           int
-	loading, ordered bool // a load is under way; it is an order's, no RPC rides on it
-	asked            bool // no more is known than that we asked for copies
-	since, lastUse   Time // when the load began or ended; when it was last used
-	toldAt           Time // when others was last told
-	active, executed int
-	others           float64 // RPCs of other front ends there, as answers tell
-}
-
-// worker is the one record of a worker.
-type worker struct {
-	id                WorkerID
-	state             Readiness
-	zone              ZoneID
-	cell              CellID
-	kind              KindID
-	started, goneAt   Time // goneAt: 0 while it is not gone
-	known, listed     bool // started is a real start, not "long ago"; the list now coming names it
-	holds             map[FunctionID]*instance
-	active            int
-	heard, fullUntil  Time    // last answer; no call-out before
-	timed             Time    // last answer whose time we learned from
-	errors, slow      float64 // smoothed share of errors; smoothed time over the function's usual time
-	ill               string  // symptom, or ""
-	illUntil, illBack Time
-	checking, trial   bool      // a check is out; the next RPC may try it
-	sent              []callOut // while cold
-	util, pinned      float64   // as last reported
-	bound             float64   // RPCs of ours that it is given at once, where its cores leave room for more
-	served            float64   // work done for us per unit of time, lately
-}
-
-type callOut struct {
-	w                     *worker
-	in                    *instance
-	at                    Time
-	cost                  float64
-	done, retracted, cold bool // cold: it began or joined a load
-	broke                 bool // its connection did: that tells nothing of the worker's way with this RPC
-}
-
-// RPC is the handle of one RPC.
-type RPC struct {
-	r             *Router
-	id            RPCID
-	m             *method
-	fn            *function
-	gain          float64
-	at, end, late Time // taken; the client's time is up; an answer earns the late share only
-	calls         []callOut
-	out           int
-	size          float64 // its work over the function's mean, by the hint
-	repeat        bool    // a client's, marked
-	queued, ended bool
-	risk          *worker // worker of the first call-out that may have run
-	riskAt        Time
-	mayHave       bool // a call-out that is over may have run
+	port                 Port
+	rng                  *rand.Rand
+	now, born, turn      Time // turn: when we last settled
+	set                  Settings
+	zone                 ZoneID
+	methods              []*method
+	customers            []*customer
+	workers              map[WorkerID]*worker
+	list                 []*worker // by id
+	fns                  map[FunctionID]*function
+	seen                 float64 // memory of one copy of each function
+	held, out            []*RPC  // in order of arrival; with a call-out out
+	orders, taken        []Time  // load orders and RPCs taken within the ration's window
+	pending, total       int     // loads under way; they and all instances
+	room, totalCap       float64 // the caps of both: learned from the store; what the workers' memory holds
+	room0, tokens        float64 // our share of two loads a worker; loads that may begin now
+	tokensAt             Time
+	could                map[KindID]float64 // what a warm worker of the kind does for us
+	slow                 float64            // workers' median slowness, 1 or more
+	realShare, loadsSeen float64            // part of loads that found no copy; loads whose end we saw
+	asked, load          float64            // work of RPCs taken lately; mean time of loads
+	ease                 float64            // how many times our even share of the fleet we may use
+	near, allIll         bool               // loads stay in the zone; health is ignored
+	dirty, beats         bool               // settling is due, with housekeeping
 }
 
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
-		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, real: 1,
+		fns: map[FunctionID]*function{}, could: map[KindID]float64{}, born: now, turn: now, slow: 1, realShare: 0.5,
 		ease: easeMost / 2.}
 	r.heed(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
@@ -356,7 +270,7 @@
 	}
 }
 
-// restart forgets what stood on a worker that began anew: it is empty and cold. What was sent there counts on.
+// restart forgets what stood on a worker that began anew, empty and cold. What was sent there counts on.
 func (w *worker) restart(at Time) {
 	w.started, w.known, w.errors, w.slow = at, true, 0, 1
 	clear(w.holds)
@@ -418,13 +332,13 @@
 func (p *RPC) place() bool {
 	r := p.r
 	if p.spent() {
-		return false
+		return p.keep(Attempts)
 	}
 	var best, joining *worker
 	count, roomy, asking, loading := 0, false, false, false
 	for _, w := range r.list {
 		in := w.holds[p.fn.id]
-		if in == nil || !p.allowed(w) {
+		if in == nil || p.barred(w) != NoTime {
 			continue
 		}
 		asking, loading = asking || in.asked, loading || in.loading
@@ -452,13 +366,25 @@
 		}
 	}
 	if best == nil && p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
+		p.keep(cmp.Or(p.reason, LoadTime)) // what held it before tells more
 		return false
 	}
 	if best = cmp.Or(best, joining); best != nil { // exception: it joins a load of ours, within its lanes
 		p.send(best)
 		return true
 	}
-	return !asking && !(roomy && loading) && p.load(count, roomy)
+	if asking {
+		return p.keep(Asking)
+	} else if p.keep(Lanes); roomy && loading {
+		return false
+	}
+	return p.load(count, roomy)
+}
+
+// keep notes what keeps the RPC from going out; it is false, as place's answer.
+func (p *RPC) keep(why Reason) bool {
+	p.reason = why
+	return false
 }
 
 // spare guards workers against many front ends that each send little: RPCs that may go out before ours out,
@@ -552,9 +478,14 @@
 	if p.queued && float64(r.now-p.at) > fn.load {
 		limit = max(fnCap, need)
 	}
-	if float64(count) >= limit || float64(r.total+1) > r.totalCap || r.now < fn.loadNext ||
-		float64(r.pending)*r.real >= max(r.room, 1) {
-		return false
+	if float64(count) >= limit {
+		return p.keep(FunctionCap)
+	} else if float64(r.total+1) > r.totalCap {
+		return p.keep(FleetCap)
+	} else if r.now < fn.loadNext {
+		return p.keep(LoadBackoff)
+	} else if float64(r.pending)*r.realShare >= max(r.room, 1) {
+		return p.keep(LoadPace)
 	}
 	homes := p.homes()
 	told := r.set.num("report.values.util", -1) >= 0
@@ -568,12 +499,12 @@
 			w.holds[fn.id] = &instance{asked: true, lastUse: r.now}
 			r.port.Hold(w.id, fn.id, 0)
 		}
-		return false
+		return p.keep(Asking)
 	}
 	if !r.mayLoad(fn) {
-		return false
+		return p.keep(LoadPace)
 	}
-	r.tokens -= r.real
+	r.tokens -= r.realShare
 	if fn.errors >= loadErrors {
 		fn.loadNext = r.now + fn.backoff // one trial load
 	}
@@ -591,7 +522,7 @@
 func (r *Router) mayLoad(fn *function) bool {
 	r.tokens = min(r.tokens+r.room*float64(r.now-r.tokensAt)/fn.load, max(r.room, 1))
 	r.tokensAt = r.now
-	return r.tokens >= r.real
+	return r.tokens >= r.realShare
 }
 
 // mayOrder keeps rule five: orders within the window, this one included, under the ration. The window is
@@ -619,14 +550,24 @@
 			near++
 		}
 	}
+	barred := [reasonCount]int{NotReady: 1} // of equals the first counts
 	for _, w := range r.list {
+		bar, told := p.barred(w), r.now-w.told < reportLasts
 		if w.state == Ready && w.holds[fn.id] != nil {
 			count++
-		} else if p.allowed(w) && r.open(w) && float64(w.active) <= 1.5*mean+1 && w.util <= 0.95 &&
-			w.pinned <= 0.9 {
+			continue
+		} else if bar == NoTime && !r.open(w) {
+			bar = WorkerShare
+		} else if bar == NoTime && (float64(w.active) > 1.5*mean+1 || told && (w.util > 0.95 || w.pinned > 0.9)) {
+			bar = BusyWorkers
+		}
+		if barred[bar]++; bar == NoTime {
 			homes = append(homes, w)
 		}
 	}
+	if len(homes) == 0 {
+		p.keep(Reason(slices.Index(barred[:], slices.Max(barred[:]))))
+	}
 	rank := func(w *worker) uint64 {
 		if r.far(w) {
 			return mix(uint64(fn.id)*spread^uint64(w.id)) >> 1
@@ -650,22 +591,27 @@
 	return (max(0, p.fn.asked-one) + shareBefore*shareWeight*one) / (max(0, p.r.asked-one) + shareWeight*one)
 }
 
-// allowed: the rules and the worker's health allow a call-out of this RPC there now.
-func (p *RPC) allowed(w *worker) bool {
+// barred tells which rule or what of the worker's health keeps this RPC from it now; NoTime: none does.
+func (p *RPC) barred(w *worker) Reason {
 	r := p.r
-	if w.state != Ready || !r.coldRoom(w, p.m) {
-		return false
+	if w.state != Ready {
+		return NotReady
+	} else if !r.coldRoom(w, p.m) {
+		return ColdWorkers
 	}
 	// a way back: one RPC that may be repeated tries a worker whose pause is over
 	if w.ill != "" && !r.allIll && (!w.trial || w.active > 0 || p.m.effect == SideEffecting) {
-		return false
+		return IllWorkers
 	}
 	for _, c := range p.calls {
 		if c.w == w && !c.broke && r.now-c.at < sec {
-			return false
+			return Repeats
 		}
 	}
-	return p.mayRepeatAt(w)
+	if !p.mayRepeatAt(w) {
+		return Repeats
+	}
+	return NoTime
 }
 
 // open: the worker is not full, nor holds our share of RPCs; those that wait for a load don't count.
@@ -732,7 +678,7 @@
 	in.active++
 	w.active++
 	p.fn.out++
-	p.calls = append(p.calls, callOut{w: w, in: in, at: r.now, cold: in.loading})
+	p.calls, p.reason = append(p.calls, callOut{w: w, in: in, at: r.now, cold: in.loading}), NoTime
 	if p.out++; p.out == 1 {
 		r.out = append(r.out, p)
 	}
@@ -777,14 +723,14 @@
 	p.unhold()
 	p.ended = true
 	if (p.mayHave || p.out > 0) && (p.m.effect == SideEffecting || p.m.effect == Tokened && p.m.group != "all") {
-		p.r.port.Abort(p.id)
+		p.r.port.Abort(p.id, p.reason)
 		return
 	}
 	comeBack := p.r.set.span("may.come-back", 0)
 	if p.r.set["may.advise"] == false {
 		comeBack = 0 // clients are not given it; their own back-off is all there is
 	}
-	p.r.port.Deny(p.id, comeBack)
+	p.r.port.Deny(p.id, comeBack, p.reason)
 }
 
 // Left tells that the client is gone: no answer is owed.
@@ -846,7 +792,7 @@
 		}
 		cold := warmth == BeganLoad || warmth == JoinedLoad || warmth == Untold && c.cold &&
 			float64(took) > p.work()+fn.load/2
-		r.loaded(fn, in, cold, max(float64(took)-p.work(), 0))
+		r.loaded(fn, in, cold, cold && warmth != JoinedLoad, max(float64(took)-p.work(), 0))
 		in.executed++
 		weight := max(0.25, 1-fade(r.now-in.toldAt, crowdFade))
 		in.others = in.crowd(r.now)*(1-weight) + max(0, float64(crowd-in.active))*weight
@@ -880,7 +826,7 @@
 		w.fullUntil = r.now + Time(p.m.work)/2
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
-			r.tokens += r.real // it never began
+			r.tokens += r.realShare // it never began
 		}
 	case Reset: // a connection may break alone; a process that ends refuses new ones, too
 		in.loading, c.broke = false, true
@@ -905,11 +851,13 @@
 func (r *Router) stoodStill() bool { return r.now-r.turn > pause }
 
 // loaded ends a load, or renews the belief in a warm instance.
-func (r *Router) loaded(fn *function, in *instance, cold bool, took float64) {
+func (r *Router) loaded(fn *function, in *instance, cold, began bool, took float64) {
 	if in.loading {
 		in.loading, in.since = false, r.now
-		if r.real -= r.real / 16; cold {
-			r.real += 1. / 16
+		r.loadsSeen++
+		weight := 1 / min(realOver, r.loadsSeen+1)
+		if r.realShare -= r.realShare * weight; began {
+			r.realShare += weight
 		}
 	}
 	if !cold {
@@ -940,9 +888,11 @@
 	})
 }
 
-// loadFailed counts a load error; the third in a row halts loads of the function.
+// loadFailed counts a load error; the third in a row halts loads of the function. The store may fail all of
+// them: until some have ended well, each is taken to find no copy.
 func (r *Router) loadFailed(fn *function) {
 	r.room = max(r.room0/8, r.room/2)
+	r.tokens, r.realShare, r.loadsSeen = r.tokens-(1-r.realShare), 1, 0
 	if fn.errors++; fn.errors < loadErrors {
 		return
 	}
@@ -959,7 +909,7 @@
 		if at < 0 || at >= len(values) {
 			return false
 		}
-		*to = values[at]
+		*to, w.told = values[at], r.now
 		return true
 	}
 	if told("pinned", &w.pinned); !told("util", &w.util) {
@@ -1003,7 +953,7 @@
 	case o == OK || copies > 0:
 		in.copies, in.lastUse, in.ordered = max(copies, 1), now, false
 		w.heard = now
-		r.loaded(fn, in, in.loading, float64(took))
+		r.loaded(fn, in, in.loading, in.loading, float64(took))
 	case o == Errored:
 		delete(w.holds, fn.id)
 		r.loadFailed(fn)
@@ -1183,7 +1133,8 @@
 	stuck := map[*function]bool{}
 	spare := map[bool]int{false: r.spare(false), true: r.spare(true)} // for RPCs that are late, and for others
 	for _, p := range queue {
-		if late := p.worth() < p.gain; !p.queued || stuck[p.fn] || spare[late] <= 0 {
+		late := p.worth() < p.gain
+		if !p.queued || stuck[p.fn] && !p.keep(FunctionOrder) || spare[late] <= 0 && !p.keep(FleetShare) {
 			continue
 		}
 		if p.place() {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -25,6 +25,7 @@
 //	checked W OUTCOME         a check's answer
 //	want ACTION ...           the next action; $x binds a worker or must be it, !$x must not be it
 //	log TEXT                  a line logged since the last such step holds TEXT
+//	reason NAME               the bound that held the RPC given up on last
 //
 // Every action must be wanted before the next step.
 func TestScenarios(t *testing.T) {
@@ -61,13 +62,20 @@
 	bound  map[string]string
 	did    []string
 	logs   []string
+	reason Reason // of the last RPC given up on
 	timers []timer
 }
 
-func (s *stage) act(format string, args ...any)       { s.did = append(s.did, fmt.Sprintf(format, args...)) }
-func (s *stage) Send(p RPCID, w WorkerID, _ Time)     { s.act("send %s %d", s.names[p], w) }
-func (s *stage) Deny(p RPCID, comeBack Time)          { s.act("deny %s %d", s.names[p], comeBack/ms) }
-func (s *stage) Abort(p RPCID)                        { s.act("abort %s", s.names[p]) }
+func (s *stage) act(format string, args ...any)   { s.did = append(s.did, fmt.Sprintf(format, args...)) }
+func (s *stage) Send(p RPCID, w WorkerID, _ Time) { s.act("send %s %d", s.names[p], w) }
+func (s *stage) Deny(p RPCID, comeBack Time, why Reason) {
+	s.act("deny %s %d", s.names[p], comeBack/ms)
+	s.reason = why
+}
+func (s *stage) Abort(p RPCID, why Reason) {
+	s.act("abort %s", s.names[p])
+	s.reason = why
+}
 func (s *stage) Retract(p RPCID, n int)               { s.act("retract %s %d", s.names[p], n) }
 func (s *stage) Check(w WorkerID)                     { s.act("check %d", w) }
 func (s *stage) Hold(w WorkerID, f FunctionID, n int) { s.act("hold %d %d %d", w, f, n) }
@@ -95,7 +103,7 @@
 		if len(f) == 0 {
 			continue
 		}
-		if f[0] != "want" && f[0] != "log" && len(s.did) > 0 {
+		if f[0] != "want" && f[0] != "log" && f[0] != "reason" && len(s.did) > 0 {
 			t.Fatalf("line %d, before %q: also did %q", i+2, line, s.did)
 		}
 		if f[0] != "set" && s.router == nil {
@@ -104,7 +112,7 @@
 		if err := s.step(f, line); err != nil {
 			t.Fatalf("line %d, %q: %v", i+2, line, err)
 		}
-		if f[0] != "set" && f[0] != "want" && f[0] != "log" && f[0] != "pause" {
+		if f[0] != "set" && f[0] != "want" && f[0] != "log" && f[0] != "reason" && f[0] != "pause" {
 			s.router.Settle(s.now)
 		}
 	}
@@ -206,6 +214,10 @@
 		if !strings.Contains(all, text) {
 			return fmt.Errorf("logged %q", all)
 		}
+	case "reason":
+		if s.reason.String() != f[1] {
+			return fmt.Errorf("told %s", s.reason)
+		}
 	default:
 		return fmt.Errorf("unknown step")
 	}
@@ -315,3 +327,39 @@
 		t.Error("worker 2 is not back as new")
 	}
 }
+
+// TestFirstHomesAgree guards against a fleet that starts and has each front end guess that a function seen once is
+// popular: all of its copies then stand in too many places, and push out others'.
+func TestFirstHomesAgree(t *testing.T) {
+	const frontEnds, workers, seen, most = 40, 111, 60, 3
+	homes := map[WorkerID]bool{}
+	for me := range frontEnds {
+		s := &stage{t: t, rpcs: map[string]*RPC{}, names: map[RPCID]string{}, bound: map[string]string{},
+			set: Settings{"methods": 1.0, "methods.0.effect": Idempotent, "may.call-outs": 1.0, "front-ends": 2.0, "me": float64(me)}}
+		r := New(s, 0, 2, s.set)
+		r.ListBegins(0, Whole, 1)
+		for id := range WorkerID(workers) {
+			r.Listed(0, id+1, Ready, 0, 0, 0, 0, 0)
+		}
+		r.ListEnds(0)
+		for id := range RPCID(seen) {
+			s.did = nil
+			fn := FunctionID(1000*me + int(id))
+			if id == seen-1 {
+				fn = 7
+			}
+			p := r.Take(0, id, 0, 0, fn, 30*sec, 0, 100, 4, 0, false)
+			r.Settle(0)
+			if len(s.did) != 1 || len(p.calls) != 1 {
+				t.Fatalf("front end %d, RPC %d: did %q", me, id, s.did)
+			}
+			if fn == 7 {
+				homes[p.calls[0].w.id] = true
+			}
+			p.Ended(0, 0, p.calls[0].w.id, OK, true, StoodWarm, 0, 50*ms, nil)
+		}
+	}
+	if len(homes) > most {
+		t.Errorf("%d front ends have %d homes of one function, want %d at the most", frontEnds, len(homes), most)
+	}
+}
--- a/router/view.go
+++ b/router/view.go
@@ -7,7 +7,7 @@
 // is cold, and the symptom where it is ill. It decides nothing.
 func (r *Router) View() string {
 	s := fmt.Sprintf("held %d out %d ease %.2f room %.1f tokens %.1f pending %d total %d of %.0f loads-real %.2f;",
-		len(r.held), len(r.out), r.ease, r.room, r.tokens, r.pending, r.total, r.totalCap, r.real)
+		len(r.held), len(r.out), r.ease, r.room, r.tokens, r.pending, r.total, r.totalCap, r.realShare)
 	for _, w := range r.list {
 		if w.state != Ready {
 			continue
