--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -33,6 +33,8 @@
 //
 //	worker W [as V]           it listens; as V: at the address of V, which is gone
 //	tell W=STATE ...          the journal service tells an event; the first one is told at the start
+//	fleet N at W STATE        an event tells of N more workers at W's address
+//	knows N                   the front end believes N workers ready
 //	feed break|silent|moves   the service breaks off its next answer, says nothing for it, or has a new address that
 //	                          the front end is told of with a reload; bad: the front end is told nonsense
 //	config OLD=>NEW           a text of the configuration is another from here on
@@ -183,6 +185,12 @@
 			s.worker(words[1], words[2:])
 		case words[0] == "tell":
 			s.tell(words[1:])
+		case words[0] == "fleet":
+			s.tellFleet(words[1], s.workers[words[3]], words[4])
+		case words[0] == "knows":
+			many, err := strconv.Atoi(words[1])
+			s.must(err)
+			s.until(func() bool { return s.ready() == many })
 		case words[0] == "feed":
 			s.turnFeed(words[1])
 		case words[0] == "start":
@@ -428,14 +436,34 @@
 
 // tell adds an event.
 func (s *stage) tell(words []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var list []any
 	for _, word := range words {
 		name, state, _ := strings.Cut(word, "=")
-		list = append(list, map[string]any{"instanceId": name, "hostPort": s.workers[name].l.Addr().String(), "zone": "a",
-			"machineType": "std", "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0})
+		list = append(list, s.listed(name, s.workers[name], state))
+	}
+	s.tellList(list)
+}
+
+// tellFleet tells of so many workers, all at the address of one.
+func (s *stage) tellFleet(count string, at *worker, state string) {
+	many, err := strconv.Atoi(count)
+	s.must(err)
+	var list []any
+	for i := range many {
+		list = append(list, s.listed(fmt.Sprintf("fleet-%d", i), at, state))
 	}
+	s.tellList(list)
+}
+
+// listed is a worker's entry in the list.
+func (s *stage) listed(name string, w *worker, state string) any {
+	return map[string]any{"instanceId": name, "hostPort": w.l.Addr().String(), "zone": "a", "machineType": "std", "cell": 1,
+		"lifecycle": state, "weight": 1, "startedAtMs": 0}
+}
+
+func (s *stage) tellList(list []any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	pos := len(s.events) + 1
 	s.events = append(s.events, map[string]any{"pos": pos, "hosts": map[string]any{"generation": pos, "reset": pos == 1, "instances": list}})
 	close(s.more)
@@ -550,6 +578,14 @@
 }
 
 // until waits for what must come.
+// ready is how many workers the front end believes ready: each has one group of figures in the module's view.
+func (s *stage) ready() int {
+	view := make(chan string, 1)
+	s.f.loop.Post(func() { view <- s.f.e.View() })
+	_, workers, _ := strings.Cut(<-view, ";")
+	return len(strings.Fields(workers))
+}
+
 func (s *stage) until(is func() bool) {
 	for until := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
