The decision module is split into files by what they decide, with standard names

Renamed: heed, tend, sicken, keepHouse, weighZone, moved, eased, mayLoad, mayOrder, stoodStill, could, room, room0, near, ease.

--- a/router/port.go
+++ b/router/port.go
@@ -1,7 +1,5 @@
-// Package router decides where a front end sends its RPCs.
-//
-// This file is the interface alone: ids, times, outcomes, and what the module may do (Port).
-// The module itself, with every decision, is router.go.
+// This file is the interface alone: ids, times, outcomes, and what the module may do (Port). It decides nothing.
+
 package router
 
 // Time is a clock reading or a span, in whole tenths of a millisecond.
--- a/router/view.go
+++ b/router/view.go
@@ -6,8 +6,8 @@
 // queue and the bounds, then each worker that is ready with RPCs out there, copies, those of them that load, C where it
 // is cold, and the symptom where it is ill. It decides nothing.
 func (r *Router) View() string {
-	s := fmt.Sprintf("held %d out %d ease %.2f room %.1f tokens %.1f pending %d total %d of %.0f loads-real %.2f;",
-		len(r.held), len(r.out), r.ease, r.room, r.tokens, r.pending, r.total, r.totalCap, r.realShare)
+	s := fmt.Sprintf("held %d out %d fleet-factor %.2f load-limit %.1f tokens %.1f pending %d total %d of %.0f loads-real %.2f;",
+		len(r.held), len(r.out), r.fleetFactor, r.loadLimit, r.tokens, r.pending, r.total, r.totalCap, r.realShare)
 	for _, w := range r.list {
 		if w.state != Ready {
 			continue
