--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -84,7 +84,7 @@
 	why := c.read()
 	if errors.Is(why, io.EOF) || errors.Is(why, io.ErrUnexpectedEOF) {
 		c.awaitAnswers(ctx)
-	} else if why != nil && ctx.Err() == nil && !errors.Is(why, net.ErrClosed) && !errors.Is(why, syscall.ECONNRESET) {
+	} else if ctx.Err() == nil && !errors.Is(why, net.ErrClosed) && !errors.Is(why, syscall.ECONNRESET) {
 		c.s.o.Log.Info().Err(why).Msg("a client's connection ends")
 		c.say(jsonrpc.AppendError(nil, jsonrpc.Null, jsonrpc.ParseError, "framing: "+why.Error(), nil))
 		c.awaitAnswers(ctx)
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -53,7 +53,6 @@
 	next    int // number of the next replacement
 	records []record.Record
 	book    *day.Book
-	open    int // clients whose RPC is not over
 	cuts    []cut
 	module  core.Make // nil: the router
 	rpcs    []RPC
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -86,12 +86,6 @@
 	lines chan string // closed at the stream's end
 }
 
-func newPeer(nc net.Conn) *peer {
-	p := &peer{nc: nc, lines: make(chan string, 1<<16)}
-	p.read()
-	return p
-}
-
 func (p *peer) read() {
 	go func() {
 		nc := p.nc
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -99,7 +99,6 @@
 	fallen     bool
 	draining   bool
 	reports    []float64
-	reportAt   router.Time
 	reportLate router.Time
 	history    []reportAt
 
