--- a/router/placement.go
+++ b/router/placement.go
@@ -47,8 +47,7 @@
 		}
 	}
 	if best == nil && p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
-		p.keep(cmp.Or(p.reason, LoadTime)) // what held it before tells more
-		return false
+		return p.keep(cmp.Or(p.reason, LoadTime)) // what held it before tells more
 	}
 	if best = cmp.Or(best, joining); best != nil { // exception: it joins a load of ours, within its lanes
 		p.send(best)
@@ -71,16 +70,16 @@
 // spare guards workers against many front ends that each send little: RPCs that may go out before ours out,
 // loads waited for aside, reach our share of fleetBusy for each worker that takes any.
 func (r *Router) spare(late bool) int {
-	well, all, ease := 0.0, r.frontEnds(), r.fleetFactor
+	well, all, factor := 0.0, r.frontEnds(), r.fleetFactor
 	if late {
-		ease = lateFactor
+		factor = lateFactor
 	}
 	for _, w := range r.list {
 		if w.state == Ready && (w.ill == "" || r.allIll) {
 			well++
 		}
 	}
-	most := max(1, int(ease*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
+	most := max(1, int(factor*fleetBusy*well/all+1-(r.set.num("me", 0)+1)/all))
 	for _, p := range r.out {
 		if c := &p.calls[len(p.calls)-1]; !c.in.loading && (c.w.ill == "" || r.allIll) {
 			most--
@@ -138,11 +137,12 @@
 	}
 	barred := [reasonCount]int{NotReady: 1} // of equals the first counts
 	for _, w := range r.list {
-		bar, told := p.barred(w), r.now-w.told < reportLasts
 		if w.state == Ready && w.holds[fn.id] != nil {
 			count++
 			continue
-		} else if bar == NoTime && !r.open(w) {
+		}
+		bar, told := p.barred(w), r.now-w.told < reportLasts
+		if bar == NoTime && !r.open(w) {
 			bar = WorkerShare
 		} else if bar == NoTime && (float64(w.active) > 1.5*mean+1 || told && (w.util > 0.95 || w.pinned > 0.9)) {
 			bar = BusyWorkers
