--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -94,23 +94,20 @@
 		}
 	})
 	defer stop()
-	pause, broken := pauseMin, false
+	pause := pauseMin
+	outage := outage{log: f.log, answered: time.Now()}
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.ask(ctx)
 		if err == nil {
-			if broken {
-				f.log.Info().Uint64("pos", f.pos).Msg("the journal service tells again")
-			}
-			pause, broken = pauseMin, false
+			outage.over(began, f.pos)
+			pause = pauseMin
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !broken {
-			f.log.Warn().Err(err).Uint64("pos", f.pos).Msg("the journal service does not tell")
-		}
-		broken = true
+		outage.failed(err, f.pos)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
