--- /dev/null
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -0,0 +1,699 @@
+package main
+
+// What users saw: while the journal service was out of reach, RPCs and load orders went on to workers that had begun to
+// drain, long after the drain counted as told (7 s into the silence) and after its grace. The workers turned them away, the
+// RPCs were served elsewhere.
+//
+// Order of events: the service goes out of reach; a busy worker drains; 7 s and the grace pass; sends to it go on until the
+// list comes back. However the service fails, the breaks begin at that moment and nothing else changes then.
+//
+// Cause: the list of workers was used whatever its age. Nothing told the module when the list had last been confirmed, so the
+// state "ready" outlived the time for which anybody could know it.
+//
+// What proved it: all kinds of outage below broke the rule alike, from the end of the grace to the list's return; with the
+// choice of the least-loaded worker changed so that workers that turn away draw nothing, fewer sends broke it, but no
+// fewer kinds. See docs/incidents/2026-12-02-discovery-out-of-reach.md.
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	wire "github.com/apache/thrift/lib/go/thrift"
+)
+
+// Figures of the protocol and of the settings that these front ends run with.
+const (
+	silenceClock = 7 * time.Second        // what discovery would have told counts as told so long into its silence
+	reloadClock  = 4 * time.Second        // and so long after a reload that moves discovery
+	drainGrace   = 500 * time.Millisecond // rules.drainGraceNs
+	drainSlack   = 50 * time.Millisecond  // what the protocol adds to each time limit
+)
+
+// Moments of an outage, from its begin. The first drains are told by the clock alone, the last comes when it has run out.
+const (
+	outageFirstDrain  = 600 * time.Millisecond
+	outageSecondDrain = 9 * time.Second
+	outageLasts       = 12 * time.Second
+	outageAfter       = time.Second // how long the load goes on once the list is back
+)
+
+// Size of the fleet and of its load.
+const (
+	outageFrontEnds = 3
+	outageWorkers   = 8
+	outageStreams   = 4                      // RPCs at once through each front end
+	outageThink     = 100 * time.Millisecond // from one RPC of a stream to its next
+	outageFunctions = 6
+)
+
+// outageMode is one way in which discovery, or a front end during the outage, goes wrong.
+type outageMode struct {
+	name       string
+	discovery  discoveryFault
+	config     []string      // texts of the configuration and what stands for them
+	clock      time.Duration // when a drain counts as told at the latest; 0: silenceClock
+	restart    bool          // a front end is killed and started again in the outage
+	reload     bool          // the front ends are told of another address, that nobody listens at
+	pause      bool          // a front end is stopped across the end of the clock
+	passChecks bool          // workers that drain pass their checks
+	noChecks   bool          // the settings allow no checks
+	servedMin  float64       // share of RPCs served past the clock, at the least
+}
+
+type discoveryFault int
+
+const (
+	discoveryRefuses discoveryFault = iota // nobody listens
+	discoverySilent                        // it accepts and says nothing
+	discoveryTrickle                       // an answer's head, then a byte at a time
+	discoveryErrors                        // it answers with status 500
+	discoveryHalf                          // it ends in the middle of each answer
+	discoveryStale                         // it answers with an older state than it told
+)
+
+// TestDiscoveryOutage runs front ends, workers and a journal service as processes and sockets of this machine, and counts what
+// is sent to workers that drain once their drain counts as told.
+func TestDiscoveryOutage(t *testing.T) {
+	for _, mode := range []outageMode{
+		{name: "refused", discovery: discoveryRefuses, servedMin: 0.95},
+		{name: "silent", discovery: discoverySilent, servedMin: 0.95},
+		{name: "trickle", discovery: discoveryTrickle, servedMin: 0.95},
+		{name: "errors", discovery: discoveryErrors, servedMin: 0.95},
+		{name: "half an answer", discovery: discoveryHalf, servedMin: 0.95},
+		{name: "an older state", discovery: discoveryStale, servedMin: 0.95},
+	} {
+		t.Run(mode.name, func(t *testing.T) {
+			t.Parallel()
+			playOutage(t, mode)
+		})
+	}
+}
+
+// TestDiscoveryOutageBeside is the same with something else going wrong in the outage.
+func TestDiscoveryOutageBeside(t *testing.T) {
+	for _, mode := range []outageMode{
+		{name: "a front end starts in it", discovery: discoveryRefuses, restart: true, servedMin: 0.9},
+		{name: "a reload moves discovery out of reach", discovery: discoveryRefuses, reload: true, clock: reloadClock, servedMin: 0.95},
+		{name: "a front end stands still in it", discovery: discoverySilent, pause: true, servedMin: 0.6},
+		{name: "workers that drain pass their checks", discovery: discoveryRefuses, passChecks: true, servedMin: 0.7},
+		{name: "no checks", discovery: discoveryRefuses, noChecks: true, config: []string{`"mayProbe":true`, `"mayProbe":false`}},
+		{name: "no orders", discovery: discoveryRefuses, config: []string{`"mayLoad":true`, `"mayLoad":false`}, servedMin: 0.95},
+	} {
+		t.Run(mode.name, func(t *testing.T) {
+			t.Parallel()
+			playOutage(t, mode)
+		})
+	}
+}
+
+func playOutage(t *testing.T, mode outageMode) {
+	f := newOutageFleet(t, mode)
+	f.startLoad()
+	time.Sleep(1500 * time.Millisecond) // copies are loaded, each worker has had some RPCs
+
+	f.discovery.fail(mode.discovery)
+	began := time.Now()
+	told := began.Add(silenceClock)
+	if mode.clock > 0 {
+		told = began.Add(mode.clock)
+	}
+	at := func(after time.Duration) { time.Sleep(time.Until(began.Add(after))) }
+	if mode.reload {
+		for i := range f.frontEnds {
+			f.reload(i, freeAddress(t))
+		}
+	}
+	at(outageFirstDrain)
+	f.drain(0)
+	f.drain(1)
+	if mode.restart {
+		at(2 * time.Second)
+		f.restart(0)
+	}
+	if mode.pause {
+		at(6500 * time.Millisecond)
+		f.signal(0, syscall.SIGSTOP)
+		at(8500 * time.Millisecond)
+		f.signal(0, syscall.SIGCONT)
+	}
+	at(outageSecondDrain)
+	f.drain(2)
+	at(outageLasts)
+	f.discovery.heal()
+	if mode.reload {
+		for i := range f.frontEnds {
+			f.reload(i, f.discovery.address)
+		}
+	}
+	time.Sleep(outageAfter)
+	f.stopLoad()
+	f.judge(began, told)
+}
+
+// outageFleet is the front ends' processes and all that they speak with.
+type outageFleet struct {
+	t         *testing.T
+	mode      outageMode
+	discovery *discovery
+	workers   []*outageWorker
+	frontEnds []*outageFrontEnd
+
+	stop     chan struct{}
+	streams  sync.WaitGroup
+	lateness atomic.Int64 // ns by which this process ran late at the most
+
+	mu    sync.Mutex
+	sends []outageSend
+	rpcs  []outageRPC
+}
+
+type outageFrontEnd struct {
+	address, config string
+	mu              sync.Mutex
+	process         *exec.Cmd
+	log             *bytes.Buffer
+}
+
+// outageSend is what came to a worker.
+type outageSend struct {
+	worker int
+	what   string // call, order, check, ask
+	at     time.Time
+	status int
+}
+
+// outageRPC is how a client's RPC ended.
+type outageRPC struct {
+	at     time.Time
+	served bool
+}
+
+func newOutageFleet(t *testing.T, mode outageMode) *outageFleet {
+	f := &outageFleet{t: t, mode: mode, stop: make(chan struct{}), discovery: newDiscovery(t)}
+	for i := range outageWorkers {
+		f.workers = append(f.workers, newOutageWorker(f, i))
+	}
+	f.discovery.tell(f.list("active", 0, 1, 2, 3, 4, 5, 6, 7), true)
+	f.discovery.tell(f.list("active", 0), false) // so that there is an older state than the one that is known
+	for range outageFrontEnds {
+		fe := &outageFrontEnd{address: freeAddress(t), config: filepath.Join(t.TempDir(), "config.json")}
+		f.frontEnds = append(f.frontEnds, fe)
+		f.configure(len(f.frontEnds)-1, f.discovery.address)
+		f.launch(len(f.frontEnds) - 1)
+	}
+	return f
+}
+
+func (f *outageFleet) list(state string, workers ...int) (out []any) {
+	for _, i := range workers {
+		out = append(out, map[string]any{"instanceId": fmt.Sprintf("w%d", i), "hostPort": f.workers[i].address, "zone": "a",
+			"machineType": "std", "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0})
+	}
+	return out
+}
+
+// configure writes a front end's configuration: the known events are those at the fleet's start.
+func (f *outageFleet) configure(i int, journal string) {
+	f.t.Helper()
+	text, err := os.ReadFile("../../internal/platform/testdata/config.json")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	replace := append([]string{"$LISTEN", f.frontEnds[i].address, "$JOURNAL", journal, `"$KNOWN"`, string(f.discovery.first()),
+		`"balancers":1`, fmt.Sprintf(`"balancers":%d`, outageFrontEnds), `"myNumber":0`, fmt.Sprintf(`"myNumber":%d`, i)}, f.mode.config...)
+	config := strings.NewReplacer(append(replace, `"mayLoad":false`, `"mayLoad":true`)...).Replace(string(text))
+	if f.mode.name == "no orders" {
+		config = strings.NewReplacer(replace...).Replace(string(text))
+	}
+	if err := os.WriteFile(f.frontEnds[i].config, []byte(config), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *outageFleet) launch(i int) {
+	f.t.Helper()
+	fe := f.frontEnds[i]
+	process, log := start(f.t, fe.config)
+	fe.mu.Lock()
+	fe.process, fe.log = process, log
+	fe.mu.Unlock()
+}
+
+func (f *outageFleet) signal(i int, signal os.Signal) {
+	f.t.Helper()
+	if err := f.frontEnds[i].process.Process.Signal(signal); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *outageFleet) reload(i int, journal string) {
+	f.configure(i, journal)
+	f.signal(i, syscall.SIGHUP)
+}
+
+func (f *outageFleet) restart(i int) {
+	f.signal(i, syscall.SIGKILL)
+	_ = f.frontEnds[i].process.Wait()
+	f.launch(i)
+}
+
+func (f *outageFleet) drain(i int) {
+	w := f.workers[i]
+	w.mu.Lock()
+	w.drained = time.Now()
+	w.mu.Unlock()
+	f.discovery.tell(f.list("leaving", i), false)
+}
+
+// startLoad has clients send RPCs through each front end, and watches how late this process itself runs.
+func (f *outageFleet) startLoad() {
+	for i, fe := range f.frontEnds {
+		for stream := range outageStreams {
+			f.streams.Go(func() { f.stream(fe, i*outageStreams+stream) })
+		}
+	}
+	f.streams.Go(func() {
+		const pace = 5 * time.Millisecond
+		for last := time.Now(); ; {
+			select {
+			case <-f.stop:
+				return
+			case <-time.After(pace):
+			}
+			late := time.Since(last) - pace
+			last = time.Now()
+			if int64(late) > f.lateness.Load() {
+				f.lateness.Store(int64(late))
+			}
+		}
+	})
+}
+
+func (f *outageFleet) stopLoad() {
+	close(f.stop)
+	f.streams.Wait()
+}
+
+// stream is one client: an RPC, its answer, a while, the next one.
+func (f *outageFleet) stream(fe *outageFrontEnd, number int) {
+	var nc net.Conn
+	defer func() {
+		if nc != nil {
+			nc.Close()
+		}
+	}()
+	for seq := int32(1); ; seq++ {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(outageThink):
+		}
+		if nc == nil {
+			var err error
+			if nc, err = net.Dial("tcp", fe.address); err != nil {
+				nc = nil
+				continue // it starts, or was killed
+			}
+			seq = 1
+		}
+		began := time.Now()
+		method := []string{"query", "query", "book", "once"}[int(seq)%4]
+		fields := map[string]string{"method": method, "rid": fmt.Sprintf("%08x%08x", number, seq), "budget": "1500", "acct": "acme",
+			"obj": fmt.Sprintf("%016x", 1+(number+int(seq))%outageFunctions), "facts": "memory_mb:100;lanes:4"}
+		if method == "book" {
+			fields["token"] = fmt.Sprintf("%016x%016x", number, seq)
+		}
+		served, err := execute(nc, seq, fields)
+		if err != nil {
+			nc.Close()
+			nc = nil
+		}
+		f.mu.Lock()
+		f.rpcs = append(f.rpcs, outageRPC{began, served})
+		f.mu.Unlock()
+	}
+}
+
+// execute has one RPC answered.
+func execute(nc net.Conn, seq int32, fields map[string]string) (served bool, err error) {
+	if _, err := nc.Write(encode("execute", seq, fields)); err != nil {
+		return false, err
+	}
+	if err := nc.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		return false, err
+	}
+	var n uint32
+	if err := binary.Read(nc, binary.BigEndian, &n); err != nil {
+		return false, err
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(nc, text); err != nil {
+		return false, err
+	}
+	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
+	buf.Write(text)
+	r := wire.NewTBinaryProtocolConf(buf, nil)
+	if _, _, _, err := r.ReadMessageBegin(ctx); err != nil {
+		return false, err
+	}
+	_, _, field, err := r.ReadFieldBegin(ctx)
+	return field == 0, err
+}
+
+// judge counts what was sent to a worker that drains beyond its grace, and what was served past the clock.
+func (f *outageFleet) judge(began, told time.Time) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lateness := time.Duration(f.lateness.Load())
+	counts := map[string]int{}
+	broken, shown := 0, 0
+	for _, s := range f.sends {
+		if s.at.After(told) {
+			counts[s.what]++
+			if s.status != http.StatusOK {
+				counts[s.what+" turned away"]++
+			}
+		}
+		drained := f.workers[s.worker].drained
+		if drained.IsZero() || s.what != "call" && s.what != "order" {
+			continue
+		}
+		if drained.Before(told) {
+			drained = told
+		}
+		if by := drained.Add(drainGrace + drainSlack + lateness); s.at.After(by) {
+			if broken++; shown < 5 {
+				shown++
+				f.t.Errorf("%s to worker %d, which drains, %v past its grace, %v into the outage", s.what, s.worker,
+					s.at.Sub(by).Round(time.Millisecond), s.at.Sub(began).Round(time.Millisecond))
+			}
+		}
+	}
+	served, all := 0, 0
+	for _, r := range f.rpcs {
+		if r.at.After(told) {
+			if all++; r.served {
+				served++
+			}
+		}
+	}
+	share := float64(served) / float64(max(all, 1))
+	f.t.Logf("past the clock: %d of %d RPCs served (%.3f); %v; %d sends and orders to workers that drain; this process up to %v late",
+		served, all, share, counts, broken, lateness.Round(time.Millisecond))
+	if broken > 0 {
+		f.t.Errorf("%d sends and orders to workers that drain", broken)
+	}
+	if all == 0 || share < f.mode.servedMin {
+		f.t.Errorf("served %.3f of %d RPCs past the clock, %.2f are wanted", share, all, f.mode.servedMin)
+	}
+	if checks := counts["check"]; checks > all+50 {
+		f.t.Errorf("%d checks for %d RPCs", checks, all)
+	}
+	if f.t.Failed() {
+		for i, fe := range f.frontEnds {
+			f.t.Logf("front end %d: %s", i, fe.log)
+		}
+	}
+}
+
+// outageWorker is a stand-in for a worker: it loads a function with its first RPC, and turns calls and orders away while it
+// drains.
+type outageWorker struct {
+	f       *outageFleet
+	number  int
+	address string
+
+	mu      sync.Mutex
+	drained time.Time // zero: it doesn't drain
+	loaded  map[string]bool
+}
+
+const (
+	outageLoadTime = 80 * time.Millisecond
+	outageWorkTime = 25 * time.Millisecond
+)
+
+func newOutageWorker(f *outageFleet, number int) *outageWorker {
+	w := &outageWorker{f: f, number: number, loaded: map[string]bool{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	w.address = l.Addr().String()
+	server := &http.Server{Handler: w}
+	go func() { _ = server.Serve(l) }()
+	f.t.Cleanup(func() { server.Close() })
+	return w
+}
+
+func (w *outageWorker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
+	send := outageSend{worker: w.number, what: "call", at: time.Now(), status: http.StatusOK}
+	w.mu.Lock()
+	drains := !w.drained.IsZero()
+	w.mu.Unlock()
+	parts := strings.Split(in.URL.Path, "/")
+	switch {
+	case in.Method == http.MethodPut && parts[len(parts)-1] == "0":
+		send.what = "ask"
+		w.slots(out, parts[3])
+	case in.Method == http.MethodPut:
+		send.what = "order"
+		if drains {
+			send.status = turnAway(out)
+		} else {
+			w.load(parts[3])
+			w.slots(out, parts[3])
+		}
+	case in.URL.Path == "/ping" || in.URL.Path == "/-/gauges":
+		send.what = "check"
+		out.Header().Set("X-Meter", "busy:0.1;x0:0.1")
+		if drains && !w.f.mode.passChecks {
+			send.status = http.StatusServiceUnavailable
+			out.WriteHeader(send.status)
+		}
+	case drains:
+		_, _ = io.Copy(io.Discard, in.Body)
+		send.status = turnAway(out)
+	default:
+		_, _ = io.Copy(io.Discard, in.Body)
+		remark := "warm"
+		if w.load(in.Header.Get("X-Ref")) {
+			remark = "cold"
+		}
+		time.Sleep(outageWorkTime)
+		out.Header().Set("X-Remark", remark)
+		out.Header().Set("X-Meter", "busy:0.3;x0:0.1")
+		_, _ = io.WriteString(out, "done")
+	}
+	w.f.mu.Lock()
+	w.f.sends = append(w.f.sends, send)
+	w.f.mu.Unlock()
+}
+
+func turnAway(out http.ResponseWriter) int {
+	out.Header().Set("X-Shed", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
+	return http.StatusServiceUnavailable
+}
+
+// load reports whether the function had to be loaded.
+func (w *outageWorker) load(function string) bool {
+	w.mu.Lock()
+	loaded := w.loaded[function]
+	w.loaded[function] = true
+	w.mu.Unlock()
+	if !loaded {
+		time.Sleep(outageLoadTime)
+	}
+	return !loaded
+}
+
+func (w *outageWorker) slots(out http.ResponseWriter, function string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stand := 0
+	if w.loaded[function] {
+		stand = 1
+	}
+	out.Header().Set("X-Slots-Up", strconv.Itoa(stand))
+}
+
+// discovery is a stand-in for the journal service, on a socket of its own so that it can fail in each way.
+type discovery struct {
+	t       *testing.T
+	address string
+
+	mu     sync.Mutex
+	events []any
+	more   chan struct{} // closed with each event and with each change of how it fails
+	failed bool
+	fault  discoveryFault
+	l      net.Listener
+	conns  map[net.Conn]bool
+}
+
+func newDiscovery(t *testing.T) *discovery {
+	d := &discovery{t: t, more: make(chan struct{}), conns: map[net.Conn]bool{}}
+	d.listen("127.0.0.1:0")
+	t.Cleanup(func() { d.fail(discoveryRefuses) })
+	return d
+}
+
+func (d *discovery) listen(address string) {
+	d.t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		d.t.Error(err)
+		return
+	}
+	d.l, d.address = l, l.Addr().String()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d.mu.Lock()
+			d.conns[nc] = true
+			d.mu.Unlock()
+			go d.serve(nc)
+		}
+	}()
+}
+
+func (d *discovery) tell(instances []any, whole bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pos := len(d.events) + 1
+	d.events = append(d.events, map[string]any{"pos": pos, "hosts": map[string]any{"generation": pos, "reset": whole, "instances": instances}})
+	d.wake()
+}
+
+func (d *discovery) wake() {
+	close(d.more)
+	d.more = make(chan struct{})
+}
+
+// first is the list as the fleet started with it.
+func (d *discovery) first() []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.text(0, 1)
+}
+
+func (d *discovery) text(from, to int) []byte {
+	text, err := json.Marshal(map[string]any{"pos": to, "entries": d.events[min(from, to):to]})
+	if err != nil {
+		d.t.Error(err)
+	}
+	return text
+}
+
+func (d *discovery) fail(fault discoveryFault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed, d.fault = true, fault
+	d.wake()
+	if fault == discoveryRefuses {
+		d.l.Close()
+		for nc := range d.conns {
+			nc.Close()
+		}
+	}
+}
+
+func (d *discovery) heal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failed = false; d.fault == discoveryRefuses {
+		d.listen(d.address)
+	}
+	for nc := range d.conns {
+		nc.Close()
+	}
+	d.wake()
+}
+
+func (d *discovery) serve(nc net.Conn) {
+	defer func() {
+		nc.Close()
+		d.mu.Lock()
+		delete(d.conns, nc)
+		d.mu.Unlock()
+	}()
+	buf := make([]byte, 4096)
+	for {
+		n, err := nc.Read(buf)
+		if err != nil {
+			return
+		}
+		var tail, wait int
+		_, _ = fmt.Sscanf(string(buf[:n]), "GET /journal?tail=%d&max_wait=%d", &tail, &wait)
+		if !d.answer(nc, tail, time.Duration(wait)*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// answer reports whether the connection may go on.
+func (d *discovery) answer(nc net.Conn, tail int, wait time.Duration) bool {
+	over := time.After(wait)
+	for held := true; held; {
+		d.mu.Lock()
+		more, nothing := d.more, tail >= len(d.events) && !d.failed
+		d.mu.Unlock()
+		if held = nothing; held {
+			select {
+			case <-more:
+			case <-over:
+				held = false
+			}
+		}
+	}
+	d.mu.Lock()
+	failed, fault := d.failed, d.fault
+	text := d.text(tail, len(d.events))
+	if failed && fault == discoveryStale {
+		text = d.text(0, 1)
+	}
+	d.mu.Unlock()
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(text))
+	if !failed || fault == discoveryStale {
+		_, err := io.WriteString(nc, head+string(text))
+		return err == nil
+	}
+	switch fault {
+	case discoveryErrors:
+		_, err := io.WriteString(nc, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	case discoveryHalf:
+		_, _ = io.WriteString(nc, head+string(text[:len(text)/2]))
+		return false
+	case discoveryTrickle:
+		_, err := io.WriteString(nc, head)
+		for i := 0; i < len(text) && err == nil; i++ {
+			time.Sleep(50 * time.Millisecond)
+			_, err = nc.Write(text[i : i+1])
+		}
+		return false
+	}
+	_, _ = nc.Read(make([]byte, 1)) // it says nothing, until the connection ends
+	return false
+}
--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -89,6 +89,13 @@
 // send writes a message in its frame.
 func send(t *testing.T, nc net.Conn, name string, seq int32, fields map[string]string) {
 	t.Helper()
+	if _, err := nc.Write(encode(name, seq, fields)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// encode is a message in its frame.
+func encode(name string, seq int32, fields map[string]string) []byte {
 	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
 	w := wire.NewTBinaryProtocolConf(buf, nil)
 	_ = w.WriteMessageBegin(ctx, name, wire.CALL, seq)
@@ -101,9 +108,7 @@
 		}
 	}
 	_ = w.WriteFieldStop(ctx)
-	if _, err := nc.Write(append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)); err != nil {
-		t.Fatal(err)
-	}
+	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
 }
 
 // receive reads one frame.
