--- a/cmd/mallowlanding/discovery_outage_test.go
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -60,6 +60,7 @@
 	outageStreams   = 4                      // RPCs at once through each front end
 	outageThink     = 100 * time.Millisecond // from one RPC of a stream to its next
 	outageFunctions = 6
+	sparseThink     = 900 * time.Millisecond // the same where there is little traffic
 )
 
 // outageMode is one way in which discovery, or a front end during the outage, goes wrong.
@@ -72,7 +73,8 @@
 	reload     bool          // the front ends are told of another address, that nobody listens at
 	pause      bool          // a front end is stopped across the end of the clock
 	passChecks bool          // workers that drain pass their checks
-	noChecks   bool          // the settings allow no checks
+	sparse     bool          // so little traffic that workers must be asked
+	noOrders   bool          // the settings allow no load orders
 	servedMin  float64       // share of RPCs served past the clock, at the least
 }
 
@@ -112,8 +114,10 @@
 		{name: "a reload moves discovery out of reach", discovery: discoveryRefuses, reload: true, clock: reloadClock, servedMin: 0.95},
 		{name: "a front end stands still in it", discovery: discoverySilent, pause: true, servedMin: 0.6},
 		{name: "workers that drain pass their checks", discovery: discoveryRefuses, passChecks: true, servedMin: 0.7},
-		{name: "no checks", discovery: discoveryRefuses, noChecks: true, config: []string{`"mayProbe":true`, `"mayProbe":false`}},
-		{name: "no orders", discovery: discoveryRefuses, config: []string{`"mayLoad":true`, `"mayLoad":false`}, servedMin: 0.95},
+		{name: "no checks", discovery: discoveryRefuses, config: []string{`"mayProbe":true`, `"mayProbe":false`}},
+		{name: "little traffic", discovery: discoveryRefuses, sparse: true, servedMin: 0.95},
+		{name: "little traffic and no orders", discovery: discoverySilent, sparse: true, noOrders: true, servedMin: 0.95},
+		{name: "no orders", discovery: discoveryRefuses, noOrders: true, servedMin: 0.95},
 	} {
 		t.Run(mode.name, func(t *testing.T) {
 			t.Parallel()
@@ -237,10 +241,10 @@
 	}
 	replace := append([]string{"$LISTEN", f.frontEnds[i].address, "$JOURNAL", journal, `"$KNOWN"`, string(f.discovery.first()),
 		`"balancers":1`, fmt.Sprintf(`"balancers":%d`, outageFrontEnds), `"myNumber":0`, fmt.Sprintf(`"myNumber":%d`, i)}, f.mode.config...)
-	config := strings.NewReplacer(append(replace, `"mayLoad":false`, `"mayLoad":true`)...).Replace(string(text))
-	if f.mode.name == "no orders" {
-		config = strings.NewReplacer(replace...).Replace(string(text))
+	if !f.mode.noOrders {
+		replace = append(replace, `"mayLoad":false`, `"mayLoad":true`)
 	}
+	config := strings.NewReplacer(replace...).Replace(string(text))
 	if err := os.WriteFile(f.frontEnds[i].config, []byte(config), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -312,6 +316,10 @@
 
 // stream is one client: an RPC, its answer, a while, the next one.
 func (f *outageFleet) stream(fe *outageFrontEnd, number int) {
+	think := outageThink
+	if f.mode.sparse {
+		think = sparseThink
+	}
 	var nc net.Conn
 	defer func() {
 		if nc != nil {
@@ -322,7 +330,7 @@
 		select {
 		case <-f.stop:
 			return
-		case <-time.After(outageThink):
+		case <-time.After(think):
 		}
 		if nc == nil {
 			var err error
--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -130,6 +130,9 @@
 func TestPlatformToldTwice(t *testing.T) {
 	came, answer := make(chan bool, 1), make(chan bool)
 	worker := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		if in.URL.Path == "/-/gauges" { // it is asked first, as discovery is away
+			return
+		}
 		came <- true
 		select {
 		case <-answer:
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 
@@ -193,7 +194,7 @@
 	if r.risk == nil {
 		r.risk, r.riskAt = w, p.now
 	}
-	p.port.Send(r.id, w.id, 0)
+	p.port.Send(r.id, w.id, 0, math.MaxInt64)
 }
 
 // wait has it go out again a little later.
@@ -247,6 +248,9 @@
 	r.send()
 }
 
+// ListConfirmed implements core.Module: these policies go by the list whatever its age.
+func (p *policy) ListConfirmed(router.Time, router.Time) {}
+
 // Left implements core.Handle.
 func (r *rpc) Left(router.Time) { r.over = true }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,7 @@
 	Listed(now router.Time, id router.WorkerID, state router.Readiness, started router.Time, zone router.ZoneID,
 		cell router.CellID, kind router.KindID, weight float64)
 	ListEnds(now router.Time)
+	ListConfirmed(now, asOf router.Time)
 	Held(now router.Time, id router.WorkerID, fn router.FunctionID, o router.Outcome, copies int, took router.Time)
 	Checked(now router.Time, id router.WorkerID, o router.Outcome, took router.Time, report []float64)
 	Reminded(now router.Time, token uint64)
--- a/internal/emulate/front.go
+++ b/internal/emulate/front.go
@@ -339,7 +339,7 @@
 }
 
 // Send implements engine.Link.
-func (l *link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+func (l *link) Send(id engine.CallOutID, p *engine.RPC, left, _ router.Time) {
 	w, fl, name := l.f.w, &flight{}, l.f.name()
 	l.out[id] = fl
 	j := &standin.Job{Method: p.Method.Name, Function: p.Function, Token: p.Token, Mark: string(p.Payload), Until: w.now + left,
@@ -394,7 +394,7 @@
 }
 
 // Hold implements engine.Link.
-func (l *link) Hold(id engine.OrderID, function string, fn engine.Function, copies int) {
+func (l *link) Hold(id engine.OrderID, function string, fn engine.Function, copies int, _ router.Time) {
 	w, name := l.f.w, l.f.name()
 	l.orders = append(l.orders, id)
 	l.there(func(x *worker) {
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -21,11 +21,11 @@
 	sent []CallOutID
 }
 
-func (l *prompt) Send(id CallOutID, _ *RPC, _ router.Time) { l.sent = append(l.sent, id) }
-func (l *prompt) Unhold(OrderID)                           {}
-func (l *prompt) CallOff(CallOutID)                        {}
-func (l *prompt) Hold(OrderID, string, Function, int)      {}
-func (l *prompt) Check(CheckID)                            {}
+func (l *prompt) Send(id CallOutID, _ *RPC, _, _ router.Time)      { l.sent = append(l.sent, id) }
+func (l *prompt) Unhold(OrderID)                                   {}
+func (l *prompt) CallOff(CallOutID)                                {}
+func (l *prompt) Hold(OrderID, string, Function, int, router.Time) {}
+func (l *prompt) Check(CheckID)                                    {}
 
 // BenchmarkWarm is the engine and the module alone: one RPC on a warm copy, two turns.
 func BenchmarkWarm(b *testing.B) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,10 +32,12 @@
 // Link is the way to one worker. Its methods don't wait; what comes of them is told to the engine in a later turn.
 // A link that breaks ends all that is out on it by itself: see Engine.Answered, Held and Checked.
 type Link interface {
-	Send(id CallOutID, rpc *RPC, left router.Time) // left: how long the RPC's client still waits
+	// Send sends an RPC whose client still waits for left. What has not begun to leave by a time never leaves: it ends as
+	// Moot. So does an order.
+	Send(id CallOutID, rpc *RPC, left, by router.Time)
 	CallOff(id CallOutID)
 	Unhold(id OrderID) // nobody wants the load any more
-	Hold(id OrderID, function string, fn Function, copies int)
+	Hold(id OrderID, function string, fn Function, copies int, by router.Time)
 	Check(id CheckID)
 }
 
@@ -507,6 +509,9 @@
 	e.core.ListEnds(e.now)
 }
 
+// ListConfirmed tells that the list was whole and true at a time; see router.Router.
+func (e *Engine) ListConfirmed(asOf router.Time) { e.core.ListConfirmed(e.now, asOf) }
+
 // Held answers a load order; one that is unknown or over is passed over.
 func (e *Engine) Held(id OrderID, o router.Outcome, copies int) {
 	if or := e.orders[id]; or != nil {
@@ -530,7 +535,7 @@
 type port Engine
 
 // Send implements router.Port.
-func (pt *port) Send(rpc router.RPCID, w router.WorkerID, limit router.Time) {
+func (pt *port) Send(rpc router.RPCID, w router.WorkerID, limit, by router.Time) {
 	e, p := (*Engine)(pt), pt.rpcs[rpc]
 	if p == nil { // the module's own fault; the RPC is over
 		return
@@ -556,7 +561,7 @@
 		if limit > 0 { // the link gives up by itself then
 			left = min(left, limit)
 		}
-		wk.link.Send(id, p, left)
+		wk.link.Send(id, p, left, by)
 		if limit > 0 && e.now+limit < p.end {
 			e.timers.Set(new(turn.Timer), e.now+limit, func(router.Time) {
 				e.Answered(id, w, router.TimedOut, router.Untold, 0, nil, nil, nil)
@@ -627,7 +632,7 @@
 }
 
 // Hold implements router.Port.
-func (pt *port) Hold(w router.WorkerID, fn router.FunctionID, n int) {
+func (pt *port) Hold(w router.WorkerID, fn router.FunctionID, n int, by router.Time) {
 	e, wk := (*Engine)(pt), pt.workers[w]
 	e.lastID++
 	id := OrderID(e.lastID)
@@ -645,7 +650,7 @@
 	f := e.names[fn]
 	f.used = e.now
 	e.names[fn] = f
-	wk.link.Hold(id, f.name, f.fn, n)
+	wk.link.Hold(id, f.name, f.fn, n, by)
 }
 
 // Listen implements router.Port.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -25,7 +26,7 @@
 // Take implements core.Module.
 func (m *script) Take(_ router.Time, id router.RPCID, _ router.MethodID, _ router.CustomerID, _ router.FunctionID,
 	_ router.Time, _, _ float64, _ int, _ router.Time, _ bool) core.Handle {
-	m.port.Send(id, 1, 0)
+	m.port.Send(id, 1, 0, math.MaxInt64)
 	return &handle{m: m}
 }
 
@@ -51,7 +52,8 @@
 }
 
 // ListEnds implements core.Module.
-func (m *script) ListEnds(router.Time) {}
+func (m *script) ListEnds(router.Time)         {}
+func (*script) ListConfirmed(_, _ router.Time) {}
 
 // Held implements core.Module.
 func (m *script) Held(router.Time, router.WorkerID, router.FunctionID, router.Outcome, int, router.Time) {
@@ -88,7 +90,9 @@
 func (n *notes) Moved(bool) {}
 
 // Send implements Link.
-func (n *notes) Send(id CallOutID, _ *RPC, _ router.Time) { *n = append(*n, fmt.Sprint("send ", id)) }
+func (n *notes) Send(id CallOutID, _ *RPC, _, _ router.Time) {
+	*n = append(*n, fmt.Sprint("send ", id))
+}
 
 // CallOff implements Link.
 func (n *notes) CallOff(id CallOutID) { *n = append(*n, fmt.Sprint("call off ", id)) }
@@ -97,7 +101,7 @@
 func (n *notes) Unhold(OrderID) {}
 
 // Hold implements Link.
-func (n *notes) Hold(OrderID, string, Function, int) {}
+func (n *notes) Hold(OrderID, string, Function, int, router.Time) {}
 
 // Check implements Link.
 func (n *notes) Check(CheckID) {}
@@ -179,7 +183,7 @@
 	var got notes
 	p := e.Take(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 1000}, 0, "f", Function{}, "", 500, false, nil, nil, &got)
 	p.Left()
-	m.port.Send(p.id, 1, 0)
+	m.port.Send(p.id, 1, 0, math.MaxInt64)
 	e.Begin(1001)
 	e.End()
 	if want := (notes{"send 256", "call off 256"}); !slices.Equal(*link, want) || len(got) > 0 {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,8 +20,16 @@
 	"mallowlanding/router"
 )
 
+// What the service would have told counts as told so long after it falls silent, and so long after a reload that names
+// another service: the protocol's figures.
 const (
-	wait = time.Second // how long the service may hold an ask; silence is noticed soon after
+	SilenceClock = 7 * time.Second
+	ReloadClock  = 4 * time.Second
+)
+
+const (
+	wait      = time.Second      // how long the service may hold an ask; silence is noticed soon after
+	waitFirst = time.Millisecond // the same where the list is not confirmed: what is known then counts, not what will come
 	// For a connection, and for an answer's way beyond the wait; doubling while answers are late: a service that is slow
 	// each time must get through at last. What a silent service has to tell counts as told 2 s after the wait.
 	slackMin  = 300 * time.Millisecond
@@ -48,9 +56,9 @@
 	Workers []Worker
 }
 
-// List takes over what one answer told: events that are whole and valid alone, in their order, or none. It is called from
-// one goroutine at a time.
-type List func(events []Event)
+// List takes over what one answer told: events that are whole and valid alone, in their order, or none. With them the list
+// is whole and true as of a time; the zero time: nobody knows as of when. It is called from one goroutine at a time.
+type List func(events []Event, asOf time.Time)
 
 // Feed follows one journal service after the other.
 type Feed struct {
@@ -58,6 +66,9 @@
 	log  zerolog.Logger
 	pos  uint64 // the last event that counted
 	gaps int    // answers in a row that left events out
+	// Events were left out for good: what they told is not known, until a whole list comes.
+	incomplete bool
+	answers    bool // the service at the address answered the last ask
 
 	slack time.Duration
 
@@ -143,7 +154,11 @@
 		tail = 0
 	}
 	b := strconv.AppendUint([]byte("GET /journal?tail="), tail, 10)
-	b = strconv.AppendInt(append(b, "&max_wait="...), wait.Milliseconds(), 10)
+	hold := wait
+	if !f.answers {
+		hold = waitFirst
+	}
+	b = strconv.AppendInt(append(b, "&max_wait="...), hold.Milliseconds(), 10)
 	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), address...), "\r\n\r\n"...)
 	began := time.Now()
 	a, again, err := conn.Exchange(b, began.Add(wait+f.slack), bodyMost)
@@ -154,15 +169,17 @@
 	}
 	was := f.pos
 	if err == nil {
-		err = f.answered(address, a)
+		err = f.answered(address, a, began)
 	}
+	f.answers = err == nil
 	if err != nil || !again {
 		f.drop(conn)
 	}
 	if f.moved(address) { // that the old service broke off tells nothing of the new one
+		f.answers = false
 		return nil
 	}
-	if err == nil && f.pos == was && time.Since(began) < wait/2 { // it does not hold asks: don't ask all the time
+	if err == nil && f.pos == was && hold == wait && time.Since(began) < wait/2 { // it does not hold asks: don't ask all the time
 		time.Sleep(pauseMin)
 	}
 	return err
@@ -170,14 +187,14 @@
 
 // answered takes over an answer of the service at an address. Once another is followed it doesn't count, though it was
 // read whole: the new one tells it again.
-func (f *Feed) answered(address string, a hop.Answer) error {
+func (f *Feed) answered(address string, a hop.Answer, asked time.Time) error {
 	switch {
 	case f.moved(address):
 		return errors.New("the service has moved")
 	case a.Status != http.StatusOK:
 		return fmt.Errorf("status %d", a.Status)
 	}
-	return f.Apply(a.Body)
+	return f.Apply(a.Body, asked)
 }
 
 // moved tells whether another service is followed by now than that at an address.
@@ -199,7 +216,11 @@
 // Apply takes over what an answer, or the configuration, tells: nothing of it where it is not valid as a whole. What
 // is known by its number is passed over. After a gap in the numbers all was asked for anew: then all of it counts as one
 // whole list, and if the gap is there still, what comes behind it counts, too: a drain told there is better known.
-func (f *Feed) Apply(text []byte) error {
+//
+// An answer confirms the list as of when it was asked for: what it says it knew at some time after that, and nobody can
+// tell when. It confirms nothing where the service knows of other events than we do then, or events are missing. Asked is
+// the zero time where nobody can tell when the text was true, as of the configuration's.
+func (f *Feed) Apply(text []byte, asked time.Time) error {
 	var all map[string]any
 	if err := json.Unmarshal(text, &all); err != nil {
 		return fmt.Errorf("journal: %w", err)
@@ -210,6 +231,7 @@
 	}
 	anew := f.gaps > 0
 	var events []Event
+	incomplete := f.incomplete
 	last := f.pos
 	if anew {
 		last = 0
@@ -230,10 +252,13 @@
 		}
 		form := router.Changes
 		if whole, _ := hosts["reset"].(bool); whole {
-			form = router.Whole
-		} else if uint64(pos) != last+1 && f.gaps < gapsMost {
-			f.gaps++
-			return fmt.Errorf("journal: entry %d: event %d follows event %d", i, uint64(pos), last)
+			form, incomplete = router.Whole, false
+		} else if uint64(pos) != last+1 {
+			if f.gaps < gapsMost {
+				f.gaps++
+				return fmt.Errorf("journal: entry %d: event %d follows event %d", i, uint64(pos), last)
+			}
+			incomplete = true
 		}
 		workers, err := f.workers(hosts["instances"])
 		if err != nil {
@@ -248,8 +273,12 @@
 	if anew && last < f.pos { // it told less than is known: the gap may be told later
 		return fmt.Errorf("journal: events up to %d are told, %d are known", last, f.pos)
 	}
-	f.list(events)
-	f.pos, f.gaps = last, 0
+	asOf := asked
+	if known, told := all["pos"].(float64); !told || known != float64(last) || incomplete {
+		asOf = time.Time{}
+	}
+	f.list(events, asOf)
+	f.pos, f.gaps, f.incomplete = last, 0, incomplete
 	return nil
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -122,7 +122,7 @@
 	t.Helper()
 	before := goleak.IgnoreCurrent()
 	fo := &follower{t: t, told: make(chan string, 64)}
-	fo.f = New(s.address(), func(events []Event) {
+	fo.f = New(s.address(), func(events []Event, _ time.Time) {
 		var all []string
 		for _, e := range events {
 			form := "changes"
@@ -294,13 +294,65 @@
 // TestAnswerReadAsItMoves: the same, where the old service's answer was read whole just before.
 func TestAnswerReadAsItMoves(t *testing.T) {
 	told := 0
-	f := New("127.0.0.1:1", func([]Event) { told++ }, zerolog.Nop())
+	f := New("127.0.0.1:1", func([]Event, time.Time) { told++ }, zerolog.Nop())
 	whole := hop.Answer{Status: http.StatusOK, Body: []byte(answer(entry(1, true, "a=active")))}
 	f.Move("127.0.0.1:2")
-	if err := f.answered("127.0.0.1:1", whole); err == nil || told > 0 || f.pos > 0 {
+	if err := f.answered("127.0.0.1:1", whole, time.Now()); err == nil || told > 0 || f.pos > 0 {
 		t.Errorf("%v, told %d times, at %d", err, told, f.pos)
 	}
-	if err := f.answered("127.0.0.1:2", whole); err != nil || told != 1 || f.pos != 1 {
+	if err := f.answered("127.0.0.1:2", whole, time.Now()); err != nil || told != 1 || f.pos != 1 {
 		t.Errorf("%v, told %d times, at %d", err, told, f.pos)
 	}
 }
+
+// TestConfirms: an answer confirms the list as of when it was asked for, if it was read whole, was the followed service's, and
+// the service knows of no other events than we do.
+func TestConfirms(t *testing.T) {
+	asked := time.Now().Add(-time.Second)
+	first := `{"pos":1,"entries":[` + entry(1, true, "a=active") + `]}`
+	for _, c := range []struct {
+		name      string
+		answers   []string
+		confirmed bool
+	}{
+		{"all events", []string{first}, true},
+		{"nothing new", []string{first, `{"pos":1,"entries":[]}`}, true},
+		{"it knows of more than it tells", []string{first, `{"pos":3,"entries":[` + entry(2, false, "b=active") + `]}`}, false},
+		{"an older state", []string{`{"pos":2,"entries":[` + entry(1, true, "a=active") + `,` + entry(2, false, "a=leaving") + `]}`, first}, false},
+		{"it does not tell what it knows", []string{first, `{"entries":[]}`}, false},
+		{"not valid", []string{first, `{"pos":2,"entries":[{"pos":2,"hosts":{"instances":[{}]}}]}`}, false},
+		{"a gap", []string{first, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`}, false},
+		{"a gap that never heals", []string{first, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`,
+			`{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`}, false},
+		{"nothing new after such a gap", []string{first, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`,
+			`{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`,
+			`{"pos":3,"entries":[]}`}, false},
+		{"a whole list after such a gap", []string{first, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`,
+			`{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`, `{"pos":3,"entries":[` + entry(3, false, "b=active") + `]}`,
+			`{"pos":4,"entries":[` + entry(4, true, "b=active") + `]}`}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var asOf time.Time
+			f := New("127.0.0.1:1", func(_ []Event, confirmed time.Time) { asOf = confirmed }, zerolog.Nop())
+			for _, body := range c.answers {
+				asOf = time.Time{}
+				_ = f.answered("127.0.0.1:1", hop.Answer{Status: http.StatusOK, Body: []byte(body)}, asked)
+			}
+			if asOf.IsZero() == c.confirmed {
+				t.Errorf("confirmed as of %v", asOf)
+			}
+			if c.confirmed && !asOf.Equal(asked) {
+				t.Errorf("confirmed as of %v, asked at %v", asOf, asked)
+			}
+		})
+	}
+}
+
+// TestKnownConfirmsNothing: nobody can tell as of when the configuration's events were true.
+func TestKnownConfirmsNothing(t *testing.T) {
+	told := false
+	f := New("127.0.0.1:1", func(_ []Event, asOf time.Time) { told = asOf.IsZero() }, zerolog.Nop())
+	if err := f.Apply([]byte(`{"pos":1,"entries":[`+entry(1, true, "a=active")+`]}`), time.Time{}); err != nil || !told {
+		t.Errorf("%v, told as of nobody knows when: %t", err, told)
+	}
+}
--- a/internal/front/explore_test.go
+++ b/internal/front/explore_test.go
@@ -34,7 +34,7 @@
 }
 
 // Send implements engine.Link.
-func (w *world) Send(id engine.CallOutID, _ *engine.RPC, _ router.Time) {
+func (w *world) Send(id engine.CallOutID, _ *engine.RPC, _, _ router.Time) {
 	rpc := id >> 8
 	beside := slices.ContainsFunc(w.out, func(o engine.CallOutID) bool { return o>>8 == rpc })
 	switch {
@@ -55,7 +55,7 @@
 func (w *world) Unhold(engine.OrderID) {}
 
 // Hold implements engine.Link.
-func (w *world) Hold(engine.OrderID, string, engine.Function, int) {}
+func (w *world) Hold(engine.OrderID, string, engine.Function, int, router.Time) {}
 
 // Check implements engine.Link.
 func (w *world) Check(engine.CheckID) {}
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -213,6 +213,7 @@
 	what    string
 	message []byte
 	by      time.Time
+	beginBy router.Time // by the loop's clock: its first byte goes out by then, or never
 	ended   func(e end) // in a turn
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -231,9 +232,9 @@
 	local bool // it never left: for lack of descriptors here, because the worker is gone, or nobody waited any more
 }
 
-// start sends a message on a connection of its own.
-func (l *Link) start(what string, message []byte, within time.Duration, ended func(e end)) *exchange {
-	x := &exchange{l: l, o: l.s.o, what: what, message: message, by: time.Now().Add(within), ended: ended}
+// start sends a message on a connection of its own. It begins to leave by a time of the loop's clock, or never.
+func (l *Link) start(what string, message []byte, within time.Duration, beginBy router.Time, ended func(e end)) *exchange {
+	x := &exchange{l: l, o: l.s.o, what: what, message: message, by: time.Now().Add(within), beginBy: beginBy, ended: ended}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	conn := l.take()
 	if conn == nil {
@@ -280,8 +281,11 @@
 	})
 }
 
-// errUnwanted: the exchange was given up before its first byte went out.
-var errUnwanted = errors.New("given up before it began")
+// Reasons for which an exchange ended before its first byte went out.
+var (
+	errUnwanted = errors.New("given up before it began")
+	errLapsed   = errors.New("too late to begin: nothing proves any more that the worker does not drain")
+)
 
 func (x *exchange) try(conn *hop.Conn) (a hop.Answer, used *hop.Conn, again bool, err error) {
 	for left := connsMost; ; left-- {
@@ -301,7 +305,7 @@
 		if n, err = x.begin(conn); err == nil {
 			a, again, err = conn.Exchange(x.message[n:], x.by, bodyMost)
 		}
-		if !errors.Is(err, hop.ErrUnsent) || errors.Is(err, errUnwanted) || left == 0 {
+		if !errors.Is(err, hop.ErrUnsent) || errors.Is(err, errUnwanted) || errors.Is(err, errLapsed) || left == 0 {
 			return a, conn, again, err
 		}
 		conn.Close()
@@ -320,6 +324,10 @@
 	if x.over || !time.Now().Before(x.by) {
 		return 0, errors.Join(hop.ErrUnsent, errUnwanted)
 	}
+	// Here and not where it was decided: a connection may come up late, and the process may have stood still since.
+	if x.l.s.loop.Now() > x.beginBy {
+		return 0, errors.Join(hop.ErrUnsent, errLapsed)
+	}
 	x.begun = true
 	return c.Offer(x.message, x.by)
 }
@@ -347,6 +355,8 @@
 func (e end) outcome() router.Outcome {
 	var op net.Error
 	switch {
+	case errors.Is(e.err, errLapsed):
+		return router.Moot
 	case e.local, errors.Is(e.err, hop.ErrUnsent) && errors.Is(e.err, syscall.ECONNRESET): // connections came up, and broke
 		return router.Full
 	case errors.Is(e.err, hop.ErrUnsent):
@@ -364,7 +374,7 @@
 }
 
 // Send implements engine.Link.
-func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left, by router.Time) {
 	b := make([]byte, 0, 256+len(p.Blob))
 	verb := "POST "
 	if len(p.Blob) == 0 {
@@ -382,7 +392,7 @@
 		b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(p.Blob)), 10)
 	}
 	b = append(append(b, "\r\n\r\n"...), p.Blob...)
-	l.out[id] = l.start(p.Ticket, b, turn.Duration(left), func(e end) {
+	l.out[id] = l.start(p.Ticket, b, turn.Duration(left), by, func(e end) {
 		delete(l.out, id)
 		if e.err != nil {
 			l.s.engine.Answered(id, l.id, e.outcome(), router.Untold, 0, nil, []byte(e.err.Error()), nil)
@@ -467,10 +477,10 @@
 func (l *Link) Unhold(engine.OrderID) {}
 
 // Hold implements engine.Link.
-func (l *Link) Hold(id engine.OrderID, function string, _ engine.Function, copies int) {
+func (l *Link) Hold(id engine.OrderID, function string, _ engine.Function, copies int, by router.Time) {
 	b := append(append([]byte("PUT "+path), function...), '/')
 	b = append(l.host(strconv.AppendInt(b, int64(copies), 10)), "\r\n\r\n"...)
-	l.start("order of "+function, b, l.s.o.OrderTimeOut, func(e end) {
+	l.start("order of "+function, b, l.s.o.OrderTimeOut, by, func(e end) {
 		if e.err != nil {
 			l.s.engine.Held(id, e.outcome(), 0)
 			return
@@ -487,7 +497,7 @@
 // Check implements engine.Link.
 func (l *Link) Check(id engine.CheckID) {
 	b := append(l.host([]byte("GET /-/gauges")), "\r\n\r\n"...)
-	l.start("check", b, l.s.o.ConnectTimeOut, func(e end) {
+	l.start("check", b, l.s.o.ConnectTimeOut, math.MaxInt64, func(e end) {
 		switch {
 		case e.err != nil:
 			l.s.engine.Checked(id, e.outcome(), nil)
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -96,7 +97,7 @@
 func (r *rig) message(within time.Duration) (x *exchange, ended chan end) {
 	ended = make(chan end, 1)
 	r.turn(func() {
-		x = r.s.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), within,
+		x = r.s.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), within, math.MaxInt64,
 			func(e end) { ended <- e })
 	})
 	return x, ended
@@ -280,3 +281,28 @@
 		}
 	}
 }
+
+// TestTooLateToBegin: a message whose connection comes up after the last moment at which it may begin is never sent; one
+// that is still in time is.
+func TestTooLateToBegin(t *testing.T) {
+	r := newRig(t)
+	begin := func(by router.Time) chan end {
+		ended := make(chan end, 1)
+		r.turn(func() {
+			r.s.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), patience, by,
+				func(e end) { ended <- e })
+		})
+		return ended
+	}
+	late := begin(r.loop.Now() + turn.Span(20*time.Millisecond))
+	<-r.up
+	time.Sleep(30 * time.Millisecond)
+	r.gate <- true
+	r.ends(late, router.Moot)
+	r.sees("")
+	inTime := begin(r.loop.Now() + turn.Span(patience))
+	<-r.up
+	r.gate <- true
+	r.sees("PUT /v2/q/f/1")
+	r.ends(inTime, router.OK)
+}
--- a/internal/links/link.go
+++ b/internal/links/link.go
@@ -179,7 +179,7 @@
 }
 
 // Send implements engine.Link.
-func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+func (l *Link) Send(id engine.CallOutID, p *engine.RPC, left, _ router.Time) {
 	if p.Method.Batch > 1 && l.up != nil && l.up.binary && l.up.batches {
 		s := l.s
 		s.waiting[id] = rider{l, p, s.now, left}
@@ -303,7 +303,7 @@
 }
 
 // Hold implements engine.Link.
-func (l *Link) Hold(id engine.OrderID, function string, fn engine.Function, copies int) {
+func (l *Link) Hold(id engine.OrderID, function string, fn engine.Function, copies int, _ router.Time) {
 	b := appendFunction(jsonrpc.AppendText([]byte(`{"function":`), function), fn)
 	b = append(strconv.AppendInt(append(b, `,"copies":`...), int64(copies), 10), '}')
 	l.ask(`"o`+strconv.FormatUint(uint64(id), 10)+`"`, "host.hold", b, flight{
--- a/internal/pebble/serve.go
+++ b/internal/pebble/serve.go
@@ -299,7 +299,7 @@
 func ns(t router.Time) uint64 { return uint64(max(t, 0)) * nsPerUnit }
 
 // Send implements router.Port.
-func (in *instance) Send(rpc router.RPCID, w router.WorkerID, limit router.Time) {
+func (in *instance) Send(rpc router.RPCID, w router.WorkerID, limit, _ router.Time) {
 	out := in.act(10)
 	out.u32(uint32(rpc))
 	out.u32(uint32(w))
@@ -338,7 +338,7 @@
 func (in *instance) Check(w router.WorkerID) { in.act(60).u32(uint32(w)) }
 
 // Hold implements router.Port.
-func (in *instance) Hold(w router.WorkerID, fn router.FunctionID, n int) {
+func (in *instance) Hold(w router.WorkerID, fn router.FunctionID, n int, _ router.Time) {
 	out := in.act(130)
 	out.u64(uint64(fn))
 	out.u8(uint8(n))
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"mallowlanding/internal/engine"
+	"mallowlanding/internal/feed"
 	"mallowlanding/internal/front"
 	"mallowlanding/internal/ident"
 	"mallowlanding/internal/site"
@@ -126,6 +127,7 @@
 	}
 	c.Module = site.Flat(c.settings)
 	c.Module[terms.List] = terms.Pushed // the journal service's events come by themselves
+	c.Module[terms.Path(terms.Rules, terms.ListLasts)] = float64(turn.Span(feed.SilenceClock))
 	c.Customers, c.Zones, c.Kinds = site.Names(c.settings, site.Customers), site.Names(c.settings, site.Zones), site.Names(c.settings, site.Kinds)
 	for i := range gone[site.Customers] {
 		c.Customers[i] = ""
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -61,6 +61,8 @@
 	// the loop's
 	zones, kinds []string
 	addresses    map[string]string // of workers, by name
+	listAsOf     router.Time       // when the list was last known to be whole and true; 0: nobody has confirmed it
+	reloaded     router.Time       // when the configuration was last read again; 0: it was not
 }
 
 // machine is the engine with both sides.
@@ -162,7 +164,7 @@
 	defer endLoop()
 	var loopGroup, restGroup errgroup.Group
 	loopGroup.Go(func() error { f.loop.Run(loopCtx, machine{f.e, f}); return nil })
-	if err := f.feed.Apply(c.Known); err != nil { // the journal service tells it again
+	if err := f.feed.Apply(c.Known, time.Time{}); err != nil { // the journal service tells it again
 		f.log.Warn().Err(err).Msg("the known events are not taken over")
 	}
 	restGroup.Go(func() error { f.feed.Run(rest); return nil })
@@ -250,6 +252,11 @@
 // reload reads the configuration again; one that is wrong leaves the old one in force. Only its journal service is
 // followed all the same: the old one tells nothing more.
 func (f *FrontEnd) reload(now **Config) {
+	began := f.loop.Now()
+	f.loop.Post(func() {
+		f.reloaded = began
+		f.confirmList()
+	})
 	c, err := ReadConfig(f.path, f.env)
 	if err == nil {
 		err = c.keepPlaces(*now)
@@ -279,15 +286,32 @@
 
 // listed takes events of the journal service over, all of one answer in one turn: what an earlier one of them says of
 // a worker, and a later one takes back, must send nothing there.
-func (f *FrontEnd) listed(events []feed.Event) {
+func (f *FrontEnd) listed(events []feed.Event, asOf time.Time) {
 	f.loop.Post(func() {
 		for _, e := range events {
 			f.event(e)
 		}
+		if !asOf.IsZero() {
+			f.listAsOf = f.loop.Now() - turn.Span(time.Since(asOf)) - 1 // spans are cut to whole units
+			f.confirmList()
+		}
 		f.told.Store(true)
 	})
 }
 
+// confirmList tells the module how old the list is. With a reload the service may have moved, and the old one tells
+// nothing more: what was confirmed before it lasts for the reload's clock and no longer.
+func (f *FrontEnd) confirmList() {
+	if f.listAsOf == 0 {
+		return
+	}
+	asOf := f.listAsOf
+	if asOf <= f.reloaded {
+		asOf = min(asOf, f.reloaded-turn.Span(feed.SilenceClock-feed.ReloadClock))
+	}
+	f.e.ListConfirmed(asOf)
+}
+
 func (f *FrontEnd) event(e feed.Event) {
 	f.e.ListBegins(e.Form, e.Pos)
 	named := map[string]bool{}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -35,6 +35,7 @@
 //	tell W=STATE ...          the journal service tells an event; the first one is told at the start
 //	fleet N at W STATE        an event tells of N more workers at W's address
 //	knows N                   the front end believes N workers ready
+//	confirmed                 the list is evidence enough for all of its workers
 //	feed break|silent|moves   the service breaks off its next answer, says nothing for it, or has a new address that
 //	                          the front end is told of with a reload; bad: the front end is told nonsense
 //	config OLD=>NEW           a text of the configuration is another from here on
@@ -191,6 +192,8 @@
 			many, err := strconv.Atoi(words[1])
 			s.must(err)
 			s.until(func() bool { return s.ready() == many })
+		case words[0] == "confirmed":
+			s.until(func() bool { view := s.view(); return view != "" && !strings.Contains(view, "U") })
 		case words[0] == "feed":
 			s.turnFeed(words[1])
 		case words[0] == "start":
@@ -577,15 +580,18 @@
 	s.feed.Close()
 }
 
-// until waits for what must come.
 // ready is how many workers the front end believes ready: each has one group of figures in the module's view.
-func (s *stage) ready() int {
+func (s *stage) ready() int { return len(strings.Fields(s.view())) }
+
+// view is the part of the module's view that tells of workers.
+func (s *stage) view() string {
 	view := make(chan string, 1)
 	s.f.loop.Post(func() { view <- s.f.e.View() })
 	_, workers, _ := strings.Cut(<-view, ";")
-	return len(strings.Fields(workers))
+	return workers
 }
 
+// until waits for what must come.
 func (s *stage) until(is func() bool) {
 	for until := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
 		if time.Now().After(until) {
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -117,28 +117,28 @@
 	w *wrongSide
 }
 
-func (l *wrongLink) Send(id engine.CallOutID, p *engine.RPC, left router.Time) {
+func (l *wrongLink) Send(id engine.CallOutID, p *engine.RPC, left, by router.Time) {
 	w := l.w
 	switch w.rule {
 	case "2": // side-effecting RPCs go to two workers
-		if l.Link.Send(id, p, left); p.Method.Effect == router.SideEffecting {
+		if l.Link.Send(id, p, left, by); p.Method.Effect == router.SideEffecting {
 			for _, other := range w.links {
 				if other != l.Link {
-					other.Send(id, p, left)
+					other.Send(id, p, left, by)
 					return
 				}
 			}
 		}
 	case "3": // all goes to the worker known first, drained or not
-		w.links[w.first].Send(id, p, left)
+		w.links[w.first].Send(id, p, left, by)
 	case "4": // the worker that came last is pushed, cold or not
-		l.Link.Send(id, p, left)
+		l.Link.Send(id, p, left, by)
 		for range 10 {
-			w.links[w.last].Send(id, p, left)
+			w.links[w.last].Send(id, p, left, by)
 		}
 	case "5": // each RPC orders a load
-		l.Link.Hold(engine.OrderID(1<<40|uint64(id)), p.Function, p.Fn, 1)
-		l.Link.Send(id, p, left)
+		l.Link.Hold(engine.OrderID(1<<40|uint64(id)), p.Function, p.Fn, 1, by)
+		l.Link.Send(id, p, left, by)
 	}
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -71,6 +71,7 @@
 	ColdFrom     = "cold-from"
 	Cold         = "cold"
 	Drain        = "drain"
+	ListLasts    = "list-lasts"
 	FallMultiple = "fall-multiple"
 	Fall         = "fall"
 	AnswerGrace  = "answer-grace"
--- a/router/health.go
+++ b/router/health.go
@@ -15,6 +15,10 @@
 	}
 	switch o {
 	case OK:
+		w.proved(c.at)
+		if c.at > w.turnedAwayAt {
+			w.turnedAwayAt = 0
+		}
 		w.errors -= w.errors / 4
 		w.served += p.m.mean() / float64(servedFade)
 		if now := w.holds[fn.id]; now == nil || now.asked {
@@ -53,6 +57,7 @@
 			w.markUnhealthy(r, "errors", w.errors)
 		}
 	case Full:
+		r.learnFromRefusal(w, c.cold)
 		w.fullUntil = r.now + Time(p.m.work)/2
 		if in.loading && in.active == 0 {
 			delete(w.holds, fn.id)
@@ -111,11 +116,13 @@
 }
 
 // Checked answers a check: one that passed lets an RPC try the worker.
-func (r *Router) Checked(now Time, id WorkerID, o Outcome, _ Time, report []float64) {
+func (r *Router) Checked(now Time, id WorkerID, o Outcome, took Time, report []float64) {
 	r.now, r.dirty = now, true
 	w := r.record(id)
 	w.checking = false
-	if w.report(r, report); o != OK && w.ill != "" {
+	w.report(r, report)
+	r.learnFromCheck(w, o, now-took)
+	if o != OK && w.ill != "" {
 		w.markUnhealthy(r, w.ill, 0)
 	}
 	w.trial = o == OK && w.ill != ""
@@ -136,8 +143,8 @@
 		if r.now < w.illUntil || w.trial || w.checking {
 			continue
 		}
-		if w.checking = r.set.is("may.check"); w.checking {
-			r.port.Check(w.id)
+		if r.set.is("may.check") {
+			r.check(w)
 		}
 		w.trial = !w.checking
 	}
--- a/router/loads.go
+++ b/router/loads.go
@@ -41,7 +41,7 @@
 func (p *RPC) order(w *worker) {
 	p.begin(w).ordered = true
 	p.r.orders = append(p.r.orders, p.r.now)
-	p.r.port.Hold(w.id, p.fn.id, 1)
+	p.r.port.Hold(w.id, p.fn.id, 1, p.r.sendBy(w))
 }
 
 // begin notes a load under way.
@@ -92,12 +92,15 @@
 		fn.askNext = r.now + askLasts
 		for _, w := range homes[:min(askHomes, len(homes))] {
 			w.holds[fn.id] = &instance{asked: true, lastUse: r.now}
-			r.port.Hold(w.id, fn.id, 0)
+			r.port.Hold(w.id, fn.id, 0, forever)
 		}
 		return p.keep(Asking)
 	}
 	if !r.loadPaceAllows(fn) {
 		return p.keep(LoadPace)
+	} else if !r.confirmed(homes[0]) {
+		r.ask(homes[0])
+		return p.keep(Unconfirmed)
 	}
 	r.tokens -= r.realShare
 	if fn.errors >= loadErrors {
@@ -190,6 +193,9 @@
 	r.now, r.dirty = now, true
 	w, fn := r.record(id), r.fns[fid]
 	in := w.holds[fid]
+	if began := now - took; o == OK && in != nil && in.ordered && began >= in.since { // else a question's late answer
+		w.proved(in.since)
+	}
 	if in == nil || in.asked {
 		delete(w.holds, fid)
 		if copies > 0 && w.state == Ready {
@@ -199,9 +205,9 @@
 	}
 	switch {
 	case copies == 0 && !in.ordered: // a late answer to a question
-	case o == Reset && !in.lost(fn, now) && w.state == Ready && r.orderRationAllows():
+	case o == Reset && !in.lost(fn, now) && w.state == Ready && r.confirmed(w) && r.orderRationAllows():
 		r.orders = append(r.orders, now) // the order stands, but nobody would tell of its end
-		r.port.Hold(id, fid, 1)
+		r.port.Hold(id, fid, 1, r.sendBy(w))
 	case o == OK || copies > 0:
 		in.copies, in.lastUse, in.ordered = max(copies, 1), now, false
 		w.heard = now
--- a/router/membership.go
+++ b/router/membership.go
@@ -17,6 +17,7 @@
 		was.effect, was.group, was.window = Stricter(was.effect, was.group, was.window, m.effect, m.group, m.window)
 	}
 	r.methods = p.methods
+	r.timeList()
 	for i, quota := range p.quotas {
 		if i == len(r.customers) {
 			r.customers = append(r.customers, &customer{tokens: quota * float64(sec), at: r.now})
@@ -102,7 +103,8 @@
 	kind KindID, _ float64) {
 	w := r.workers[id]
 	if w == nil {
-		w = &worker{id: id, started: started, known: started > 0, slow: 1, holds: map[FunctionID]*instance{}}
+		w = &worker{id: id, started: started, known: started > 0, slow: 1, provenAt: never,
+			holds: map[FunctionID]*instance{}}
 		r.workers[id], r.list = w, append(r.list, w)
 		slices.SortFunc(r.list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	} else if started > w.started {
--- a/router/placement.go
+++ b/router/placement.go
@@ -34,22 +34,26 @@
 			if !in.ordered && (joining == nil || p.before(w, joining)) {
 				joining = w
 			}
-		} else if best == nil || r.far(best) && !r.far(w) ||
-			r.far(w) == r.far(best) && p.before(w, best) {
+		} else if best == nil || p.preferred(w, best) {
 			best = w
 		}
 	}
 	// Exceptions: from a far instance, or one with others waiting, a copy is ordered where ours should stand.
 	if best != nil && (r.far(best) || p.behind(best) >= farBehind) && r.set.is("functions.orders") &&
 		count < fnCap && r.now >= p.fn.loadNext {
-		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.orderRationAllows() {
+		if homes := p.homes(); len(homes) > 0 && !r.far(homes[0]) && r.confirmed(homes[0]) && r.orderRationAllows() {
 			p.order(homes[0])
 		}
 	}
-	if best == nil && p.at < r.now && !p.timeToLoad() { // it would end waiting, and the load in vain
+	waited := p.at < r.now && !(p.reason == Unconfirmed && r.now-p.at <= askWait) // a check takes next to no time
+	if best == nil && waited && !p.timeToLoad() {                                 // it would end waiting, and the load in vain
 		return p.keep(cmp.Or(p.reason, LoadTime)) // what held it before tells more
 	}
 	if best = cmp.Or(best, joining); best != nil { // exception: it joins a load of ours, within its lanes
+		if !r.confirmed(best) {
+			r.ask(best)
+			return p.keep(Unconfirmed)
+		}
 		p.send(best)
 		return true
 	}
@@ -97,14 +101,26 @@
 	}
 }
 
+// preferred orders two workers with a warm instance that has room: by evidence, by zone, then as the design does.
+func (p *RPC) preferred(w, best *worker) bool {
+	r := p.r
+	if r.confirmed(w) != r.confirmed(best) { // one that is need not be asked
+		return r.confirmed(w)
+	}
+	return r.far(best) && !r.far(w) || r.far(w) == r.far(best) && p.before(w, best)
+}
+
 func (r *Router) far(w *worker) bool { return r.ownZoneFirst && w.zone != r.zone }
 
 // before is the design's order of ties among warm instances; active counts others' RPCs as last told, and
 // those that answers slower than elsewhere tell of.
 func (p *RPC) before(w, best *worker) bool {
 	in, other := w.holds[p.fn.id], best.holds[p.fn.id]
-	c := cmp.Or(p.behind(w)-p.behind(best),
-		in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse), cmp.Compare(in.since, other.since))
+	c := p.behind(w) - p.behind(best)
+	if p.r.rarelyConfirmed() { // keeps most workers confirmed
+		c = cmp.Or(c, cmp.Compare(w.provenAt, best.provenAt))
+	}
+	c = cmp.Or(c, in.executed-other.executed, cmp.Compare(in.lastUse, other.lastUse), cmp.Compare(in.since, other.since))
 	return c < 0 || c == 0 && p.r.rng.Intn(2) == 0
 }
 
@@ -144,7 +160,7 @@
 		bar, told := p.barred(w), r.now-w.told < reportLasts
 		if bar == NoTime && !r.open(w) {
 			bar = WorkerShare
-		} else if bar == NoTime && (float64(w.active) > 1.5*mean+1 || told && (w.util > 0.95 || w.pinned > 0.9)) {
+		} else if bar == NoTime && (float64(w.active) > 1.5*mean+1 || told && (w.util > 0.95 || w.pinned > pinnedFull)) {
 			bar = BusyWorkers
 		}
 		if barred[bar]++; bar == NoTime {
@@ -182,6 +198,8 @@
 	r := p.r
 	if w.state != Ready {
 		return NotReady
+	} else if !r.usable(w) {
+		return Unconfirmed
 	} else if !r.coldRoom(w, p.m) {
 		return ColdWorkers
 	}
--- a/router/port.go
+++ b/router/port.go
@@ -43,6 +43,12 @@
 	LoadFailed        // the load failed
 )
 
+var outcomeNames = [...]string{OK: "ok", Errored: "error", Full: "full", TimedOut: "time-out", ConnectFailed: "no connection",
+	Reset: "broken connection", CalledOff: "called off", Moot: "not sent", Missed: "not loaded"}
+
+// String is the outcome's name in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Readiness is a worker's state in the list.
 type Readiness uint8
 
@@ -82,13 +88,14 @@
 	Repeats                     // most workers: it may have run, or was there a moment ago
 	WorkerShare                 // most workers: full, or with our share of RPCs
 	BusyWorkers                 // most workers: more work or memory in use than others
+	Unconfirmed                 // most workers, or the one that it would go to: nothing proves that they do not drain
 	NotReady                    // most workers: not ready, or there are none
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{"no-time", "fleet-share", "function-order", "attempts", "lanes", "asking", "load-time",
 	"function-cap", "fleet-cap", "load-backoff", "load-pace", "cold-workers", "ill-workers", "repeats",
-	"worker-share", "busy-workers", "not-ready"}
+	"worker-share", "busy-workers", "unconfirmed", "not-ready"}
 
 // String is the reason's name in logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -106,13 +113,15 @@
 
 // Port is what the module acts through.
 type Port interface {
-	Send(rpc RPCID, w WorkerID, limit Time)    // a new call-out; limit 0: until the client's time is up
-	Deny(rpc RPCID, comeBack Time, why Reason) // final answer: a retry is harmless
-	Abort(rpc RPCID, why Reason)               // final answer: promises nothing
-	Retract(rpc RPCID, n int)                  // call off the RPC's n-th call-out
-	Remind(after Time, token uint64)           // ask for Router.Reminded
-	Check(w WorkerID)                          // probe a worker
-	Hold(w WorkerID, fn FunctionID, n int)     // order at least n copies held
-	Listen()                                   // ask for changes of the list from now on
-	Log(text string)                           // one line for those on call
+	Send(rpc RPCID, w WorkerID, limit, by Time) // a new call-out; limit 0: until the client's time is up; by: see Hold
+	Deny(rpc RPCID, comeBack Time, why Reason)  // final answer: a retry is harmless
+	Abort(rpc RPCID, why Reason)                // final answer: promises nothing
+	Retract(rpc RPCID, n int)                   // call off the RPC's n-th call-out
+	Remind(after Time, token uint64)            // ask for Router.Reminded
+	Check(w WorkerID)                           // probe a worker
+	// Hold orders at least n copies held; 0 only asks. By is the last moment at which its first byte may go out: later it
+	// ends as Moot.
+	Hold(w WorkerID, fn FunctionID, n int, by Time)
+	Listen()         // ask for changes of the list from now on
+	Log(text string) // one line for those on call
 }
--- a/router/retries.go
+++ b/router/retries.go
@@ -36,7 +36,7 @@
 	if r.cold(w) {
 		w.sent = append(w.sent, callOut{at: r.now, cost: p.m.mean()})
 	}
-	r.port.Send(p.id, w.id, 0)
+	r.port.Send(p.id, w.id, 0, r.sendBy(w))
 }
 
 // Left tells that the client is gone: no answer is owed.
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,7 @@
 	askLasts    = sec      // for so long we don't ask again
 	askWait     = 3 * beat // for so long an answer is waited for
 	forgetAfter = 6e6      // ten minutes: a record goes with nothing heard of it for so long, far beyond its use
+	pinnedFull  = 0.9      // share of memory that can't be freed above which a worker has no room for a load
 	listenAgain = 1        // token of the timer that asks for the list again
 
 	spread = 0x9e3779b97f4a7c15 // an odd number that spreads ids over all bits
@@ -94,13 +95,17 @@
 	fleetFactor          float64            // how many times our even share of the fleet we may use
 	ownZoneFirst, allIll bool               // loads stay in the zone; health is ignored
 	dirty, beats         bool               // settling is due, with housekeeping
+	listAsOf, listUntil  Time               // when the list was last known to be whole and true; it alone is evidence until
+	listLasts            Time               // how old it may be; 0: discovery tells each change as it comes
+	drainGrace           Time               // how long after a drain was told something may still be sent
+	wasLapsed            bool               // the list was too old when last looked at
 }
 
 // New starts the module of one front end.
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
 		fns: map[FunctionID]*function{}, warmWork: map[KindID]float64{}, born: now,
-		turn: now, slow: 1, realShare: 0.5, fleetFactor: factorMost / 2.}
+		turn: now, slow: 1, realShare: 0.5, fleetFactor: factorMost / 2., listAsOf: never}
 	r.takeSettings(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
 		port.Listen()
@@ -189,6 +194,7 @@
 	r.forget()
 	r.orderRationAllows() // drops what lies before its window
 	r.count()
+	r.watchList()
 	r.watchSilence()
 	r.updateZonePreference()
 	r.recoverUnhealthy()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -21,8 +21,9 @@
 //	take RPC fn=F [m=M] [customer=C] [budget=MS] [lanes=N] [mem=MB] [load=MS] [cost=MS] [repeat=1] [times=N]
 //	end RPC N OUTCOME [warm=WORD] [crowd=N] [took=MS] [util=N] [closed]
 //	left RPC                  the client has gone
-//	held W F OUTCOME COPIES   an order's answer
-//	checked W OUTCOME         a check's answer
+//	held W F OUTCOME COPIES [took=MS]   an order's answer
+//	checked W OUTCOME [took=MS] [util=N]   a check's answer
+//	confirmed MS              the list was whole and true then
 //	want ACTION ...           the next action; $x binds a worker or must be it, !$x must not be it
 //	log TEXT                  a line logged since the last such step holds TEXT
 //	reason NAME               the bound that held the RPC given up on last
@@ -66,8 +67,11 @@
 	timers []timer
 }
 
-func (s *stage) act(format string, args ...any)   { s.did = append(s.did, fmt.Sprintf(format, args...)) }
-func (s *stage) Send(p RPCID, w WorkerID, _ Time) { s.act("send %s %d", s.names[p], w) }
+func (s *stage) act(format string, args ...any) { s.did = append(s.did, fmt.Sprintf(format, args...)) }
+func (s *stage) Send(p RPCID, w WorkerID, _, by Time) {
+	s.act("send %s %d%s", s.names[p], w, beginBy(by))
+}
+
 func (s *stage) Deny(p RPCID, comeBack Time, why Reason) {
 	s.act("deny %s %d", s.names[p], comeBack/ms)
 	s.reason = why
@@ -76,11 +80,22 @@
 	s.act("abort %s", s.names[p])
 	s.reason = why
 }
-func (s *stage) Retract(p RPCID, n int)               { s.act("retract %s %d", s.names[p], n) }
-func (s *stage) Check(w WorkerID)                     { s.act("check %d", w) }
-func (s *stage) Hold(w WorkerID, f FunctionID, n int) { s.act("hold %d %d %d", w, f, n) }
-func (s *stage) Listen()                              { s.act("listen") }
-func (s *stage) Log(text string)                      { s.logs = append(s.logs, text) }
+func (s *stage) Retract(p RPCID, n int) { s.act("retract %s %d", s.names[p], n) }
+func (s *stage) Check(w WorkerID)       { s.act("check %d", w) }
+func (s *stage) Hold(w WorkerID, f FunctionID, n int, by Time) {
+	s.act("hold %d %d %d%s", w, f, n, beginBy(by))
+}
+
+// beginBy tells until when something may begin, where there is a bound.
+func beginBy(by Time) string {
+	if by == forever {
+		return ""
+	}
+	return fmt.Sprintf(" by=%d", by/ms)
+}
+
+func (s *stage) Listen()         { s.act("listen") }
+func (s *stage) Log(text string) { s.logs = append(s.logs, text) }
 func (s *stage) Remind(after Time, token uint64) {
 	s.timers = append(s.timers, timer{s.now + after, token})
 }
@@ -202,9 +217,15 @@
 		s.rpcs[f[1]].Left(s.now)
 	case "held":
 		s.router.Held(s.now, worker(f[1]), FunctionID(number(s.t, f[2])), outcomeWords[f[3]],
-			int(number(s.t, f[4])), sec/2)
+			int(number(s.t, f[4])), span("took", 500))
 	case "checked":
-		s.router.Checked(s.now, worker(f[1]), outcomeWords[f[2]], ms, nil)
+		var report []float64
+		if options["util"] != "" {
+			report = []float64{get("util", 0)}
+		}
+		s.router.Checked(s.now, worker(f[1]), outcomeWords[f[2]], span("took", 1), report)
+	case "confirmed":
+		s.router.ListConfirmed(s.now, Time(number(s.t, f[1]))*ms)
 	case "want":
 		return s.want(f[1:])
 	case "log":
--- a/router/state.go
+++ b/router/state.go
@@ -63,6 +63,11 @@
 	sent              []callOut // while cold
 	util, pinned      float64   // as last reported
 	bound             float64   // RPCs of ours that it is given at once, where its cores leave room for more
+	provenAt          Time      // when it last proved not to drain, as of the proof's begin
+	askedAt           Time      // when the check that is out was sent
+	askNext, askPause Time      // it is not asked for evidence before; the last pause, doubling
+	refused           bool      // a check failed since it last passed one, with the list too old
+	turnedAwayAt      Time      // when it looked idle and turned away what it had room for: its checks are no evidence; 0: never
 	served            float64   // work done for us per unit of time, lately
 }
 
