A list from before a pause of the process is no evidence; idle connections close as it ends

Looked for in the same class: a front end that stood still (SIGSTOP, a long collection) heard nothing meanwhile, and its list was still taken for true when it woke: a drain told in the pause, its grace over, met sends decided before or right after it. The module now takes a list from before a pause of more than half the grace as of the pause's begin and has it asked for anew (feed.Refresh, answered at once); a link begins nothing that was decided before such a pause.

A report of more than a second ago no longer explains why a worker turns RPCs away.

It is a connection to a worker that ended, idle in the pool: nothing closed idle connections as a front end ended, only the collector.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -75,6 +75,7 @@
 	mu      sync.Mutex
 	address string
 	conn    *hop.Conn
+	again   bool // the ask that is out is given up for a new one
 }
 
 // New follows the service at an address once it runs.
@@ -95,15 +96,36 @@
 	}
 }
 
+func (f *Feed) closeConn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conn != nil {
+		f.conn.Close()
+	}
+}
+
+// Refresh gives up the ask that is out and asks anew: an answer on its way may be older than one asked for now.
+func (f *Feed) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.again = true; f.conn != nil {
+		f.conn.Close()
+	}
+}
+
+// refreshed tells whether a new ask is wanted since the last time that it was asked.
+func (f *Feed) refreshed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was := f.again
+	f.again = false
+	return was
+}
+
 // Run asks until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.conn != nil {
-			f.conn.Close()
-		}
-	})
+	stop := context.AfterFunc(ctx, f.closeConn)
+	defer f.closeConn() // one that was made while the context ended
 	defer stop()
 	pause := pauseMin
 	outage := outage{log: f.log, answered: time.Now()}
@@ -129,6 +151,9 @@
 
 // ask has one answer taken over.
 func (f *Feed) ask(ctx context.Context) error {
+	if f.refreshed() {
+		f.answers = false
+	}
 	f.mu.Lock()
 	conn, address := f.conn, f.address
 	f.mu.Unlock()
@@ -175,7 +200,7 @@
 	if err != nil || !again {
 		f.drop(conn)
 	}
-	if f.moved(address) { // that the old service broke off tells nothing of the new one
+	if f.moved(address) || err != nil && f.refreshed() { // that we broke off tells nothing of the service
 		f.answers = false
 		return nil
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -356,3 +356,15 @@
 		t.Errorf("%v, told as of nobody knows when: %t", err, told)
 	}
 }
+
+// TestRefresh: the ask that is out is given up, and the new one is to be answered at once.
+func TestRefresh(t *testing.T) {
+	s := newService(t)
+	fo := follow(t, s)
+	s.asked(0).answer(answer(entry(1, true, "a=active")))
+	fo.tells("1 whole a=1")
+	s.asked(1)
+	fo.f.Refresh()
+	s.asked(1).answer(answer(entry(2, false, "a=leaving")))
+	fo.tells("2 changes a=2")
+}
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,7 @@
 	ConnectTimeOut time.Duration
 	OrderTimeOut   time.Duration // an order without an answer by then is given up
 	Idle           time.Duration // workers close connections idle for so long; we do in half that time
+	PauseMost      time.Duration // nothing that was decided before a longer pause of the process begins; 0: any pause
 	Connections    int           // to all workers at once, idle ones included
 	Values         []string      // the figures of a load report, in our words, by their places
 	Dialer         Dialer        // nil: hop's
@@ -71,6 +73,9 @@
 	links  map[string]*Link
 	conns  int // connections that stand or are being made
 	looked time.Time
+
+	// By the loop's clock, for exchanges: when the last turn began, and the last one after a pause.
+	lastTurn, wokeAt atomic.Int64
 }
 
 // New makes a set.
@@ -140,8 +145,13 @@
 	return fmt.Sprintf("connections %d of %d;%s", s.conns, s.o.Connections, b.String())
 }
 
-// Begin looks after idle connections.
+// Begin notes pauses of the process, and looks after idle connections.
 func (s *Set) Begin() {
+	turnAt := s.loop.Now()
+	if s.paused(turnAt) {
+		s.wokeAt.Store(int64(turnAt))
+	}
+	s.lastTurn.Store(int64(turnAt))
 	now := time.Now()
 	if now.Sub(s.looked) < look {
 		return
@@ -152,6 +162,19 @@
 	}
 }
 
+// paused: no turn came for long. Nobody knows what the list of workers has told meanwhile.
+func (s *Set) paused(now router.Time) bool {
+	last := router.Time(s.lastTurn.Load())
+	return s.o.PauseMost > 0 && last > 0 && now-last > turn.Span(s.o.PauseMost)
+}
+
+// Close closes all idle connections: the front end ends.
+func (s *Set) Close() {
+	for _, l := range s.links {
+		l.closeIdle(time.Now())
+	}
+}
+
 // closeIdle closes connections idle since before a time.
 func (l *Link) closeIdle(before time.Time) {
 	kept := l.idle[:0]
@@ -213,6 +236,7 @@
 	what    string
 	message []byte
 	by      time.Time
+	decided router.Time // by the loop's clock, as beginBy
 	beginBy router.Time // by the loop's clock: its first byte goes out by then, or never
 	ended   func(e end) // in a turn
 	ctx     context.Context
@@ -234,7 +258,8 @@
 
 // start sends a message on a connection of its own. It begins to leave by a time of the loop's clock, or never.
 func (l *Link) start(what string, message []byte, within time.Duration, beginBy router.Time, ended func(e end)) *exchange {
-	x := &exchange{l: l, o: l.s.o, what: what, message: message, by: time.Now().Add(within), beginBy: beginBy, ended: ended}
+	x := &exchange{l: l, o: l.s.o, what: what, message: message, by: time.Now().Add(within),
+		decided: l.s.loop.Now(), beginBy: beginBy, ended: ended}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	conn := l.take()
 	if conn == nil {
@@ -325,13 +350,22 @@
 		return 0, errors.Join(hop.ErrUnsent, errUnwanted)
 	}
 	// Here and not where it was decided: a connection may come up late, and the process may have stood still since.
-	if x.l.s.loop.Now() > x.beginBy {
+	if x.lapsed() {
 		return 0, errors.Join(hop.ErrUnsent, errLapsed)
 	}
 	x.begun = true
 	return c.Offer(x.message, x.by)
 }
 
+// lapsed: it is too late to begin, or the process stood still since that was decided. What may begin at any time does.
+func (x *exchange) lapsed() bool {
+	if x.beginBy == math.MaxInt64 {
+		return false
+	}
+	now := x.l.s.loop.Now()
+	return now > x.beginBy || x.l.s.paused(now) || x.decided < router.Time(x.l.s.wokeAt.Load())
+}
+
 // giveUp closes the connection: that is how a worker is told. Nothing begins any more.
 func (x *exchange) giveUp() {
 	x.mu.Lock()
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -306,3 +306,31 @@
 	r.sees("PUT /v2/q/f/1")
 	r.ends(inTime, router.OK)
 }
+
+// TestNothingBeginsAcrossAPause: what was decided before the process stood still never begins, whether the loop has had a
+// turn since or not: what the list of workers told meanwhile may not be known yet.
+func TestNothingBeginsAcrossAPause(t *testing.T) {
+	const pauseMost = 50 * time.Millisecond
+	for _, turned := range []bool{false, true} {
+		r := newRig(t)
+		r.turn(func() {
+			o := r.s.o
+			o.PauseMost = pauseMost
+			r.s.Renew(o)
+			r.s.Begin()
+		})
+		ended := make(chan end, 1)
+		r.turn(func() {
+			r.s.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), patience, r.loop.Now()+turn.Span(patience),
+				func(e end) { ended <- e })
+		})
+		<-r.up
+		time.Sleep(2 * pauseMost) // no turn of the loop calls Begin here: the process might as well stand still
+		if turned {
+			r.turn(r.s.Begin)
+		}
+		r.gate <- true
+		r.ends(ended, router.Moot)
+		r.sees("")
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -108,7 +108,7 @@
 	f.base = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.e = engine.New(engine.Options{Settings: c.Module, Seed: c.Seed, Now: f.loop.Now(), Margin: turn.Span(margin),
 		Log:     func(text string) { f.log.Info().Str("from", "module").Msg(text) },
-		GivenUp: f.logGivenUp})
+		GivenUp: f.logGivenUp, Listen: func() { f.feed.Refresh() }})
 	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
 	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
 	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Bounds: c.bounds(), Ready: f.ready, Log: f.log})
@@ -123,6 +123,7 @@
 	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
 		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
 		Idle:         c.span(terms.May, terms.IdleClose, 10*time.Second),
+		PauseMost:    c.span(terms.Rules, terms.Drain, 0) / 2,
 		Connections:  c.connections(), Values: c.Values, Dialer: f.dials, Log: f.log}
 }
 
@@ -189,7 +190,10 @@
 	f.log.Info().Msg("front end is leaving")
 	f.leave(began, &c, l, accepted, reload)
 	counts := make(chan engine.Counts, 1)
-	f.loop.Post(func() { counts <- f.e.Counts() })
+	f.loop.Post(func() {
+		f.links.Close()
+		counts <- f.e.Counts()
+	})
 	n := <-counts
 	f.srv.Close()
 	endRest()
--- a/router/evidence.go
+++ b/router/evidence.go
@@ -38,11 +38,29 @@
 // change as it comes: the list holds until then.
 func (r *Router) timeList() {
 	r.listLasts, r.drainGrace = r.set.span("rules.list-lasts", 0), r.set.span("rules.drain", 0)
-	if r.listUntil = forever; r.listLasts > 0 {
+	switch {
+	case r.listLasts == 0:
+		r.listUntil = forever
+	case r.listAsOf < r.wokeAt:
+		r.listUntil = min(r.listAsOf+r.listLasts, r.sleptAt) + r.drainGrace
+	default:
 		r.listUntil = r.listAsOf + r.listLasts + r.drainGrace
 	}
 }
 
+// noticePause: the list holds since changes are heard of at once. While we stood still nothing was heard, and what was told
+// then counts as told: a list from before a pause is evidence of when the pause began. It is asked for anew. A pause of half
+// the grace is left alone, so that enough of the grace remains for what follows it.
+func (r *Router) noticePause() {
+	if r.listLasts == 0 || r.now-r.turn <= r.drainGrace/2 || r.wokeAt == r.now {
+		return
+	}
+	r.wokeAt, r.sleptAt = r.now, r.turn
+	r.timeList()
+	r.port.Log(fmt.Sprintf("stood still for %d ms: the list is asked for anew", (r.now-r.turn)/ms))
+	r.port.Listen()
+}
+
 // listLapsed: the list is too old to be evidence, each worker needs some of its own.
 func (r *Router) listLapsed() bool { return r.now+beat > r.listUntil }
 
@@ -77,7 +95,7 @@
 // learnFromCheck takes a check's end as evidence for or against the worker.
 func (r *Router) learnFromCheck(w *worker, o Outcome, began Time) {
 	switch {
-	case o == OK && w.turnedAwayAt > 0 && !w.looksBusy():
+	case o == OK && w.turnedAwayAt > 0 && !r.looksBusy(w):
 		w.postpone(r) // it turned away what it had room for: it may drain and pass its checks
 	case o == OK:
 		if w.refused { // it went, or drained, and is back: whatever it is by now, it began anew
@@ -107,13 +125,15 @@
 // learnFromRefusal: full proves neither that a worker drains nor that it does not. But one that looks idle and turns away
 // what a warm copy has lanes for may drain, and its checks are then no evidence, whatever they say.
 func (r *Router) learnFromRefusal(w *worker, cold bool) {
-	if r.listLapsed() && !cold && !w.looksBusy() && r.set.num("report.values.util", -1) >= 0 {
+	if r.listLapsed() && !cold && !r.looksBusy(w) && r.set.num("report.values.util", -1) >= 0 {
 		w.turnedAwayAt = r.now
 	}
 }
 
-// looksBusy: its last report explains why it would turn RPCs away.
-func (w *worker) looksBusy() bool { return w.util >= idleUtil || w.pinned > pinnedFull }
+// looksBusy: a recent report explains why it would turn RPCs away.
+func (r *Router) looksBusy(w *worker) bool {
+	return r.now-w.told < reportLasts && (w.util >= idleUtil || w.pinned > pinnedFull)
+}
 
 // rarelyConfirmed: only RPCs keep workers confirmed, since checks are not allowed and the list gets old. A worker that no
 // longer is can't be used again until the list comes.
--- a/router/loads.go
+++ b/router/loads.go
@@ -191,6 +191,7 @@
 // Held answers a load order.
 func (r *Router) Held(now Time, id WorkerID, fid FunctionID, o Outcome, copies int, took Time) {
 	r.now, r.dirty = now, true
+	r.noticePause()
 	w, fn := r.record(id), r.fns[fid]
 	in := w.holds[fid]
 	if began := now - took; o == OK && in != nil && in.ordered && began >= in.since { // else a question's late answer
--- a/router/queue.go
+++ b/router/queue.go
@@ -83,6 +83,7 @@
 	if r.now = now; !r.dirty {
 		return
 	}
+	r.noticePause()
 	if r.dirty = false; r.beats {
 		r.beats = false
 		r.housekeeping()
--- a/router/router.go
+++ b/router/router.go
@@ -97,6 +97,7 @@
 	dirty, beats         bool               // settling is due, with housekeeping
 	listAsOf, listUntil  Time               // when the list was last known to be whole and true; it alone is evidence until
 	listLasts            Time               // how old it may be; 0: discovery tells each change as it comes
+	wokeAt, sleptAt      Time               // the end and the begin of the last time that we stood still
 	drainGrace           Time               // how long after a drain was told something may still be sent
 	wasLapsed            bool               // the list was too old when last looked at
 }
@@ -105,7 +106,7 @@
 func New(port Port, now Time, seed int64, s Settings) *Router {
 	r := &Router{port: port, now: now, rng: rand.New(rand.NewSource(seed)), workers: map[WorkerID]*worker{},
 		fns: map[FunctionID]*function{}, warmWork: map[KindID]float64{}, born: now,
-		turn: now, slow: 1, realShare: 0.5, fleetFactor: factorMost / 2., listAsOf: never}
+		turn: now, slow: 1, realShare: 0.5, fleetFactor: factorMost / 2., listAsOf: never, wokeAt: never}
 	r.takeSettings(Prepare(s))
 	if port.Remind(beat, 0); s.word("list") == "asked" {
 		port.Listen()
