Drawn faults around discovery on real processes: outages in a row, drains, restarts, pauses

TestDiscoveryOutageDrawn draws outages of six kinds and 0.3 to 14 s, workers that drain, end and start again, front ends that are stopped, killed or reloaded, grace, traffic, and whether checks and orders are allowed.

--- a/cmd/mallowlanding/discovery_outage_test.go
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -16,11 +16,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -69,11 +71,12 @@
 	discovery  discoveryFault
 	config     []string      // texts of the configuration and what stands for them
 	clock      time.Duration // when a drain counts as told at the latest; 0: silenceClock
+	grace      time.Duration // of the rule on draining; 0: drainGrace
+	think      time.Duration // from one RPC of a stream to its next; 0: outageThink
 	restart    bool          // a front end is killed and started again in the outage
 	reload     bool          // the front ends are told of another address, that nobody listens at
 	pause      bool          // a front end is stopped across the end of the clock
 	passChecks bool          // workers that drain pass their checks
-	sparse     bool          // so little traffic that workers must be asked
 	noOrders   bool          // the settings allow no load orders
 	servedMin  float64       // share of RPCs served past the clock, at the least
 }
@@ -115,8 +118,8 @@
 		{name: "a front end stands still in it", discovery: discoverySilent, pause: true, servedMin: 0.6},
 		{name: "workers that drain pass their checks", discovery: discoveryRefuses, passChecks: true, servedMin: 0.7},
 		{name: "no checks", discovery: discoveryRefuses, config: []string{`"mayProbe":true`, `"mayProbe":false`}},
-		{name: "little traffic", discovery: discoveryRefuses, sparse: true, servedMin: 0.95},
-		{name: "little traffic and no orders", discovery: discoverySilent, sparse: true, noOrders: true, servedMin: 0.95},
+		{name: "little traffic", discovery: discoveryRefuses, think: sparseThink, servedMin: 0.95},
+		{name: "little traffic and no orders", discovery: discoverySilent, think: sparseThink, noOrders: true, servedMin: 0.95},
 		{name: "no orders", discovery: discoveryRefuses, noOrders: true, servedMin: 0.95},
 	} {
 		t.Run(mode.name, func(t *testing.T) {
@@ -128,15 +131,14 @@
 
 func playOutage(t *testing.T, mode outageMode) {
 	f := newOutageFleet(t, mode)
+	mode = f.mode
 	f.startLoad()
 	time.Sleep(1500 * time.Millisecond) // copies are loaded, each worker has had some RPCs
 
 	f.discovery.fail(mode.discovery)
 	began := time.Now()
-	told := began.Add(silenceClock)
-	if mode.clock > 0 {
-		told = began.Add(mode.clock)
-	}
+	f.silent(mode.clock)
+	told := began.Add(mode.clock)
 	at := func(after time.Duration) { time.Sleep(time.Until(began.Add(after))) }
 	if mode.reload {
 		for i := range f.frontEnds {
@@ -160,6 +162,7 @@
 	f.drain(2)
 	at(outageLasts)
 	f.discovery.heal()
+	f.heard()
 	if mode.reload {
 		for i := range f.frontEnds {
 			f.reload(i, f.discovery.address)
@@ -178,6 +181,7 @@
 	workers   []*outageWorker
 	frontEnds []*outageFrontEnd
 
+	silences []silence
 	stop     chan struct{}
 	streams  sync.WaitGroup
 	lateness atomic.Int64 // ns by which this process ran late at the most
@@ -196,10 +200,11 @@
 
 // outageSend is what came to a worker.
 type outageSend struct {
-	worker int
-	what   string // call, order, check, ask
-	at     time.Time
-	status int
+	worker  int
+	what    string // call, order, check, ask
+	at      time.Time
+	drained time.Time // when the worker began to drain; zero: it didn't
+	status  int
 }
 
 // outageRPC is how a client's RPC ended.
@@ -209,6 +214,7 @@
 }
 
 func newOutageFleet(t *testing.T, mode outageMode) *outageFleet {
+	mode.clock, mode.grace, mode.think = cmp.Or(mode.clock, silenceClock), cmp.Or(mode.grace, drainGrace), cmp.Or(mode.think, outageThink)
 	f := &outageFleet{t: t, mode: mode, stop: make(chan struct{}), discovery: newDiscovery(t)}
 	for i := range outageWorkers {
 		f.workers = append(f.workers, newOutageWorker(f, i))
@@ -224,10 +230,15 @@
 	return f
 }
 
-func (f *outageFleet) list(state string, workers ...int) (out []any) {
+func (f *outageFleet) list(state string, workers ...int) []any {
+	return f.listStarted(state, 0, workers...)
+}
+
+// listStarted lists workers that started at a Unix time in ms; 0: long ago.
+func (f *outageFleet) listStarted(state string, started int64, workers ...int) (out []any) {
 	for _, i := range workers {
 		out = append(out, map[string]any{"instanceId": fmt.Sprintf("w%d", i), "hostPort": f.workers[i].address, "zone": "a",
-			"machineType": "std", "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": 0})
+			"machineType": "std", "cell": 1, "lifecycle": state, "weight": 1, "startedAtMs": started})
 	}
 	return out
 }
@@ -239,7 +250,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	replace := append([]string{"$LISTEN", f.frontEnds[i].address, "$JOURNAL", journal, `"$KNOWN"`, string(f.discovery.first()),
+	replace := append([]string{`"drainGraceNs":500000000`, fmt.Sprintf(`"drainGraceNs":%d`, f.mode.grace), "$LISTEN", f.frontEnds[i].address, "$JOURNAL", journal, `"$KNOWN"`, string(f.discovery.first()),
 		`"balancers":1`, fmt.Sprintf(`"balancers":%d`, outageFrontEnds), `"myNumber":0`, fmt.Sprintf(`"myNumber":%d`, i)}, f.mode.config...)
 	if !f.mode.noOrders {
 		replace = append(replace, `"mayLoad":false`, `"mayLoad":true`)
@@ -316,10 +327,6 @@
 
 // stream is one client: an RPC, its answer, a while, the next one.
 func (f *outageFleet) stream(fe *outageFrontEnd, number int) {
-	think := outageThink
-	if f.mode.sparse {
-		think = sparseThink
-	}
 	var nc net.Conn
 	defer func() {
 		if nc != nil {
@@ -330,7 +337,7 @@
 		select {
 		case <-f.stop:
 			return
-		case <-time.After(think):
+		case <-time.After(f.mode.think):
 		}
 		if nc == nil {
 			var err error
@@ -384,6 +391,40 @@
 	return field == 0, err
 }
 
+// silence is a time in which discovery tells nothing.
+type silence struct {
+	from, until time.Time // until: zero while it lasts
+	clock       time.Duration
+}
+
+// recovery is how long a front end takes at the most to ask again once discovery is back: its last ask may still be out.
+const recovery = 2500 * time.Millisecond
+
+// told is when a drain counts as told.
+func (f *outageFleet) told(drained time.Time) time.Time {
+	for _, s := range f.silences {
+		if drained.Before(s.from) || !s.until.IsZero() && drained.After(s.until) {
+			continue
+		}
+		told := s.from.Add(s.clock)
+		if drained.After(told) {
+			told = drained
+		}
+		if again := s.until.Add(recovery); !s.until.IsZero() && again.Before(told) {
+			told = again
+		}
+		return told
+	}
+	return drained
+}
+
+// silent begins a time in which discovery tells nothing, heard ends it.
+func (f *outageFleet) silent(clock time.Duration) {
+	f.silences = append(f.silences, silence{from: time.Now(), clock: clock})
+}
+
+func (f *outageFleet) heard() { f.silences[len(f.silences)-1].until = time.Now() }
+
 // judge counts what was sent to a worker that drains beyond its grace, and what was served past the clock.
 func (f *outageFleet) judge(began, told time.Time) {
 	f.t.Helper()
@@ -399,14 +440,10 @@
 				counts[s.what+" turned away"]++
 			}
 		}
-		drained := f.workers[s.worker].drained
-		if drained.IsZero() || s.what != "call" && s.what != "order" {
+		if s.drained.IsZero() || s.what != "call" && s.what != "order" {
 			continue
 		}
-		if drained.Before(told) {
-			drained = told
-		}
-		if by := drained.Add(drainGrace + drainSlack + lateness); s.at.After(by) {
+		if by := f.told(s.drained).Add(f.mode.grace + drainSlack + lateness); s.at.After(by) {
 			if broken++; shown < 5 {
 				shown++
 				f.t.Errorf("%s to worker %d, which drains, %v past its grace, %v into the outage", s.what, s.worker,
@@ -451,6 +488,7 @@
 	mu      sync.Mutex
 	drained time.Time // zero: it doesn't drain
 	loaded  map[string]bool
+	server  *http.Server
 }
 
 const (
@@ -459,23 +497,38 @@
 )
 
 func newOutageWorker(f *outageFleet, number int) *outageWorker {
-	w := &outageWorker{f: f, number: number, loaded: map[string]bool{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	w := &outageWorker{f: f, number: number, address: "127.0.0.1:0"}
+	w.begin()
+	f.t.Cleanup(w.end)
+	return w
+}
+
+// begin starts the worker's process, as it were: empty, and not draining.
+func (w *outageWorker) begin() {
+	l, err := net.Listen("tcp", w.address)
 	if err != nil {
-		f.t.Fatal(err)
+		w.f.t.Error(err)
+		return
 	}
-	w.address = l.Addr().String()
 	server := &http.Server{Handler: w}
+	w.mu.Lock()
+	w.address, w.server, w.drained, w.loaded = l.Addr().String(), server, time.Time{}, map[string]bool{}
+	w.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
-	f.t.Cleanup(func() { server.Close() })
-	return w
+}
+
+func (w *outageWorker) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.server.Close()
 }
 
 func (w *outageWorker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
 	send := outageSend{worker: w.number, what: "call", at: time.Now(), status: http.StatusOK}
 	w.mu.Lock()
-	drains := !w.drained.IsZero()
+	send.drained = w.drained
 	w.mu.Unlock()
+	drains := !send.drained.IsZero()
 	parts := strings.Split(in.URL.Path, "/")
 	switch {
 	case in.Method == http.MethodPut && parts[len(parts)-1] == "0":
@@ -705,3 +758,104 @@
 	_, _ = nc.Read(make([]byte, 1)) // it says nothing, until the connection ends
 	return false
 }
+
+// TestDiscoveryOutageDrawn draws faults from a seed: outages of all kinds and lengths one after the other, workers that drain, end
+// and start again, front ends that stand still, are killed or told of another address, under drawn settings and traffic. The
+// environment names further seeds, "FIRST-LAST", for a run by hand.
+func TestDiscoveryOutageDrawn(t *testing.T) {
+	first, last := 1, 3
+	if seeds := os.Getenv("DISCOVERY_OUTAGE_SEEDS"); seeds != "" {
+		if _, err := fmt.Sscanf(seeds, "%d-%d", &first, &last); err != nil {
+			t.Fatalf("DISCOVERY_OUTAGE_SEEDS: %v", err)
+		}
+	}
+	for seed := first; seed <= last; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
+			playDrawnOutages(t, int64(seed))
+		})
+	}
+}
+
+// drawnLasts is how long drawn faults go on.
+const drawnLasts = 18 * time.Second
+
+func playDrawnOutages(t *testing.T, seed int64) {
+	rng := rand.New(rand.NewSource(seed))
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(rng.Int63n(int64(most-least)))
+	}
+	chance := func(share float64) bool { return rng.Float64() < share }
+	mode := outageMode{grace: between(300*time.Millisecond, 1200*time.Millisecond), think: between(20*time.Millisecond, time.Second),
+		noOrders: chance(0.4)}
+	if chance(0.25) {
+		mode.config = []string{`"mayProbe":true`, `"mayProbe":false`}
+	}
+	f := newOutageFleet(t, mode)
+	mode = f.mode
+	f.startLoad()
+	time.Sleep(time.Second)
+	began := time.Now()
+	var steps sync.WaitGroup
+	until := func(at time.Duration) { time.Sleep(time.Until(began.Add(at))) }
+	faults := []discoveryFault{discoveryRefuses, discoverySilent, discoveryTrickle, discoveryErrors, discoveryHalf, discoveryStale}
+
+	type outage struct {
+		at, lasts time.Duration
+		fault     discoveryFault
+	}
+	var outages []outage
+	for at := between(0, 2*time.Second); at < drawnLasts-time.Second; {
+		o := outage{at, between(300*time.Millisecond, 14*time.Second), faults[rng.Intn(len(faults))]}
+		o.lasts = min(o.lasts, drawnLasts-at)
+		outages = append(outages, o)
+		at += o.lasts + between(300*time.Millisecond, 3*time.Second)
+	}
+	steps.Go(func() {
+		for _, o := range outages {
+			until(o.at)
+			f.silent(silenceClock)
+			f.discovery.fail(o.fault)
+			until(o.at + o.lasts)
+			f.discovery.heal()
+			f.heard()
+		}
+	})
+	for worker := range outageWorkers - 3 { // three are left to serve
+		drain, lasts, away, ends := between(0, drawnLasts-time.Second), between(time.Second, 6*time.Second), between(200*time.Millisecond, 2*time.Second), chance(0.6)
+		steps.Go(func() {
+			until(drain)
+			f.drain(worker)
+			if until(drain + lasts); !ends {
+				return
+			}
+			f.workers[worker].end()
+			f.discovery.tell(f.list("left", worker), false)
+			until(drain + lasts + away)
+			f.workers[worker].begin()
+			f.discovery.tell(f.listStarted("active", time.Now().UnixMilli(), worker), false)
+		})
+	}
+	for i := range f.frontEnds {
+		at, lasts, kind := between(0, drawnLasts-4*time.Second), between(100*time.Millisecond, 3*time.Second), rng.Intn(4)
+		steps.Go(func() {
+			until(at)
+			switch kind {
+			case 0:
+				f.signal(i, syscall.SIGSTOP)
+				until(at + lasts)
+				f.signal(i, syscall.SIGCONT)
+			case 1:
+				f.restart(i)
+			case 2: // the same address, as far as the silence's clock goes
+				f.reload(i, f.discovery.address)
+			}
+		})
+	}
+	steps.Wait()
+	until(drawnLasts)
+	time.Sleep(outageAfter)
+	f.stopLoad()
+	t.Logf("grace %v, think %v, orders %t, outages %v, settings %v", mode.grace, mode.think, !mode.noOrders, outages, mode.config)
+	f.judge(began, began)
+}
