The clocks of an answer that breaks off, and of silence after an ask, end the list's evidence too

The feed tells when one begins to run (Lapse), and the platform has the list's evidence end by then, unless an ask that begins later is answered. hop tells an answer that never began from one that broke off.

--- a/cmd/mallowlanding/discovery_outage_test.go
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -42,6 +42,8 @@
 // Figures of the protocol and of the settings that these front ends run with.
 const (
 	silenceClock = 7 * time.Second        // what discovery would have told counts as told so long into its silence
+	waitClock    = 3 * time.Second        // and so long after an ask that it leaves unanswered: the wait asked for, and 2 s
+	breakClock   = 2 * time.Second        // and so long after an answer that it breaks off
 	reloadClock  = 4 * time.Second        // and so long after a reload that moves discovery
 	drainGrace   = 500 * time.Millisecond // rules.drainGraceNs
 	drainSlack   = 50 * time.Millisecond  // what the protocol adds to each time limit
@@ -97,10 +99,10 @@
 func TestDiscoveryOutage(t *testing.T) {
 	for _, mode := range []outageMode{
 		{name: "refused", discovery: discoveryRefuses, servedMin: 0.95},
-		{name: "silent", discovery: discoverySilent, servedMin: 0.95},
-		{name: "trickle", discovery: discoveryTrickle, servedMin: 0.95},
+		{name: "silent", discovery: discoverySilent, clock: waitClock, servedMin: 0.95},
+		{name: "trickle", discovery: discoveryTrickle, clock: waitClock, servedMin: 0.95},
 		{name: "errors", discovery: discoveryErrors, servedMin: 0.95},
-		{name: "half an answer", discovery: discoveryHalf, servedMin: 0.95},
+		{name: "half an answer", discovery: discoveryHalf, clock: breakClock, servedMin: 0.95},
 		{name: "an older state", discovery: discoveryStale, servedMin: 0.95},
 	} {
 		t.Run(mode.name, func(t *testing.T) {
@@ -420,7 +422,7 @@
 
 // silent begins a time in which discovery tells nothing, heard ends it.
 func (f *outageFleet) silent(clock time.Duration) {
-	f.silences = append(f.silences, silence{from: time.Now(), clock: clock})
+	f.silences = append(f.silences, silence{from: time.Now(), clock: cmp.Or(clock, silenceClock)})
 }
 
 func (f *outageFleet) heard() { f.silences[len(f.silences)-1].until = time.Now() }
@@ -814,7 +816,7 @@
 	steps.Go(func() {
 		for _, o := range outages {
 			until(o.at)
-			f.silent(silenceClock)
+			f.silent(map[discoveryFault]time.Duration{discoverySilent: waitClock, discoveryTrickle: waitClock, discoveryHalf: breakClock}[o.fault])
 			f.discovery.fail(o.fault)
 			until(o.at + o.lasts)
 			f.discovery.heal()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,11 +20,14 @@
 	"mallowlanding/router"
 )
 
-// What the service would have told counts as told so long after it falls silent, and so long after a reload that names
-// another service: the protocol's figures.
+// What the service would have told counts as told so long after it can no longer be reached, after a reload that names
+// another service, after it breaks off in the middle of an answer, and after the wait that it was asked for where it
+// says nothing: the protocol's figures. They run on until an ask that begins later is answered.
 const (
 	SilenceClock = 7 * time.Second
 	ReloadClock  = 4 * time.Second
+	breakClock   = 2 * time.Second
+	waitClock    = 2 * time.Second
 )
 
 const (
@@ -60,12 +63,17 @@
 // is whole and true as of a time; the zero time: nobody knows as of when. It is called from one goroutine at a time.
 type List func(events []Event, asOf time.Time)
 
+// Lapse tells that what the service knew at a time counts as told by another one, unless an ask that begins after the
+// first is answered.
+type Lapse func(since, by time.Time)
+
 // Feed follows one journal service after the other.
 type Feed struct {
-	list List
-	log  zerolog.Logger
-	pos  uint64 // the last event that counted
-	gaps int    // answers in a row that left events out
+	list  List
+	lapse Lapse
+	log   zerolog.Logger
+	pos   uint64 // the last event that counted
+	gaps  int    // answers in a row that left events out
 	// Events were left out for good: what they told is not known, until a whole list comes.
 	incomplete bool
 	answers    bool // the service at the address answered the last ask
@@ -79,8 +87,8 @@
 }
 
 // New follows the service at an address once it runs.
-func New(address string, list List, log zerolog.Logger) *Feed {
-	return &Feed{address: address, list: list, log: log, slack: slackMin}
+func New(address string, list List, lapse Lapse, log zerolog.Logger) *Feed {
+	return &Feed{address: address, list: list, lapse: lapse, log: log, slack: slackMin}
 }
 
 // Move follows the service at another address from now on; the numbers go on.
@@ -187,9 +195,13 @@
 	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), address...), "\r\n\r\n"...)
 	began := time.Now()
 	a, again, err := conn.Exchange(b, began.Add(wait+f.slack), bodyMost)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.slack = min(2*f.slack, slackMost)
-	} else if err == nil {
+		f.lapse(time.Now(), began.Add(hold+waitClock))
+	case errors.Is(err, hop.ErrSpoilt):
+		f.lapse(time.Now(), time.Now().Add(breakClock))
+	case err == nil:
 		f.slack = slackMin
 	}
 	was := f.pos
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -113,15 +113,18 @@
 
 // follower is a feed under test and what it told.
 type follower struct {
-	t    *testing.T
-	f    *Feed
-	told chan string
+	t      *testing.T
+	f      *Feed
+	told   chan string
+	lapses chan time.Duration // from when a clock began to run to when it ends
 }
 
+func noLapse(time.Time, time.Time) {}
+
 func follow(t *testing.T, s *service) *follower {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
-	fo := &follower{t: t, told: make(chan string, 64)}
+	fo := &follower{t: t, told: make(chan string, 64), lapses: make(chan time.Duration, 64)}
 	fo.f = New(s.address(), func(events []Event, _ time.Time) {
 		var all []string
 		for _, e := range events {
@@ -139,7 +142,7 @@
 		if len(all) > 0 {
 			fo.told <- strings.Join(all, "; ")
 		}
-	}, zerolog.Nop())
+	}, func(since, by time.Time) { fo.lapses <- by.Sub(since) }, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	over := make(chan bool)
 	go func() { fo.f.Run(ctx); close(over) }()
@@ -294,7 +297,7 @@
 // TestAnswerReadAsItMoves: the same, where the old service's answer was read whole just before.
 func TestAnswerReadAsItMoves(t *testing.T) {
 	told := 0
-	f := New("127.0.0.1:1", func([]Event, time.Time) { told++ }, zerolog.Nop())
+	f := New("127.0.0.1:1", func([]Event, time.Time) { told++ }, noLapse, zerolog.Nop())
 	whole := hop.Answer{Status: http.StatusOK, Body: []byte(answer(entry(1, true, "a=active")))}
 	f.Move("127.0.0.1:2")
 	if err := f.answered("127.0.0.1:1", whole, time.Now()); err == nil || told > 0 || f.pos > 0 {
@@ -333,7 +336,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var asOf time.Time
-			f := New("127.0.0.1:1", func(_ []Event, confirmed time.Time) { asOf = confirmed }, zerolog.Nop())
+			f := New("127.0.0.1:1", func(_ []Event, confirmed time.Time) { asOf = confirmed }, noLapse, zerolog.Nop())
 			for _, body := range c.answers {
 				asOf = time.Time{}
 				_ = f.answered("127.0.0.1:1", hop.Answer{Status: http.StatusOK, Body: []byte(body)}, asked)
@@ -351,7 +354,7 @@
 // TestKnownConfirmsNothing: nobody can tell as of when the configuration's events were true.
 func TestKnownConfirmsNothing(t *testing.T) {
 	told := false
-	f := New("127.0.0.1:1", func(_ []Event, asOf time.Time) { told = asOf.IsZero() }, zerolog.Nop())
+	f := New("127.0.0.1:1", func(_ []Event, asOf time.Time) { told = asOf.IsZero() }, noLapse, zerolog.Nop())
 	if err := f.Apply([]byte(`{"pos":1,"entries":[`+entry(1, true, "a=active")+`]}`), time.Time{}); err != nil || !told {
 		t.Errorf("%v, told as of nobody knows when: %t", err, told)
 	}
@@ -368,3 +371,38 @@
 	s.asked(1).answer(answer(entry(2, false, "a=leaving")))
 	fo.tells("2 changes a=2")
 }
+
+// TestLapses: an answer that breaks off has its clock, silence has another, from the end of the wait that was asked for; a
+// service that can't be reached has none of these.
+func TestLapses(t *testing.T) {
+	s := newService(t)
+	fo := follow(t, s)
+	lapses := func(least, most time.Duration) {
+		t.Helper()
+		select {
+		case got := <-fo.lapses:
+			if got < least || got > most {
+				t.Errorf("%v after it was seen, want %v to %v", got, least, most)
+			}
+		case <-time.After(patience):
+			t.Error("no clock runs")
+		}
+	}
+	s.asked(0).answer(answer(entry(1, true, "a=active")))
+	fo.tells("1 whole a=1")
+	a := s.asked(1)
+	fmt.Fprint(a.nc, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{")
+	a.nc.Close()
+	lapses(breakClock-time.Millisecond, breakClock+time.Millisecond)
+	s.asked(1).answer(answer(entry(2, false, "a=leaving")))
+	fo.tells("2 changes a=2")
+	s.asked(2) // held for a second, as asked for, and the slack
+	lapses(waitClock-slackMin-50*time.Millisecond, waitClock-slackMin)
+	s.asked(2).nc.Close()
+	s.asked(2)
+	select {
+	case got := <-fo.lapses:
+		t.Errorf("%v after a connection that ended with no answer begun", got)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -95,6 +95,10 @@
 		}
 	}
 	var resp *http.Response
+	c.limit.N = headMost
+	if _, err := c.in.Peek(1); err != nil { // no answer was begun: that is not a spoilt one
+		return a, false, c.readError(err)
+	}
 	for i := 0; ; i++ {
 		c.limit.N = headMost
 		if resp, err = http.ReadResponse(c.in, nil); err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -62,7 +62,9 @@
 	zones, kinds []string
 	addresses    map[string]string // of workers, by name
 	listAsOf     router.Time       // when the list was last known to be whole and true; 0: nobody has confirmed it
-	reloaded     router.Time       // when the configuration was last read again; 0: it was not
+	// What discovery knew at the first time counts as told by the second, unless it is asked later and answers; 0: no
+	// such clock runs.
+	lapsedSince, lapsesBy router.Time
 }
 
 // machine is the engine with both sides.
@@ -112,7 +114,7 @@
 	f.desk = front.NewDesk(f.e, front.Options{Methods: c.Methods, Customers: c.Customers, Margin: turn.Span(margin), Apart: true})
 	f.links = httplink.New(f.loop, f.e, f.linkOptions(c))
 	f.srv = thrift.New(f.loop, f.desk, thrift.Options{Bounds: c.bounds(), Ready: f.ready, Log: f.log})
-	f.feed = feed.New(c.Journal, f.listed, f.log)
+	f.feed = feed.New(c.Journal, f.listed, f.lapse, f.log)
 	return f, c, nil
 }
 
@@ -255,15 +257,12 @@
 
 // reload reads the configuration again; one that is wrong leaves the old one in force. Only its journal service is
 // followed all the same: the old one tells nothing more.
-func (f *FrontEnd) reload(now **Config) {
-	began := f.loop.Now()
-	f.loop.Post(func() {
-		f.reloaded = began
-		f.confirmList()
-	})
+func (f *FrontEnd) reload(config **Config) {
+	now := time.Now()
+	f.lapse(now, now.Add(feed.ReloadClock)) // the old service tells nothing more
 	c, err := ReadConfig(f.path, f.env)
 	if err == nil {
-		err = c.keepPlaces(*now)
+		err = c.keepPlaces(*config)
 	}
 	if err != nil {
 		journal := readJournal(f.path)
@@ -273,7 +272,7 @@
 		f.log.Error().Err(err).Str("journal", journal).Msg("the new configuration is not taken: the old one stands")
 		return
 	}
-	*now = c
+	*config = c
 	f.feed.Move(c.Journal)
 	service, prepared, links := c.service(), router.Prepare(c.Module), f.linkOptions(c)
 	f.loop.Post(func() {
@@ -296,22 +295,41 @@
 			f.event(e)
 		}
 		if !asOf.IsZero() {
-			f.listAsOf = f.loop.Now() - turn.Span(time.Since(asOf)) - 1 // spans are cut to whole units
+			f.listAsOf = f.loopTime(asOf)
+			if f.listAsOf > f.lapsedSince {
+				f.lapsesBy = 0
+			}
 			f.confirmList()
 		}
 		f.told.Store(true)
 	})
 }
 
-// confirmList tells the module how old the list is. With a reload the service may have moved, and the old one tells
-// nothing more: what was confirmed before it lasts for the reload's clock and no longer.
+// lapse has what discovery knew at a time count as told by another one: the list as known lasts until then and no longer.
+func (f *FrontEnd) lapse(since, by time.Time) {
+	f.loop.Post(func() {
+		f.lapsedSince = f.loopTime(since)
+		if at := f.loopTime(by); f.lapsesBy == 0 || at < f.lapsesBy {
+			f.lapsesBy = at
+		}
+		f.confirmList()
+	})
+}
+
+// loopTime is a time by the loop's clock, cut to whole units.
+func (f *FrontEnd) loopTime(t time.Time) router.Time {
+	return f.loop.Now() - turn.Span(time.Since(t)) - 1
+}
+
+// confirmList tells the module how old the list is. The module knows of the clock for a service that is out of reach
+// alone: where another one ends earlier the list is told to be older by as much.
 func (f *FrontEnd) confirmList() {
 	if f.listAsOf == 0 {
 		return
 	}
 	asOf := f.listAsOf
-	if asOf <= f.reloaded {
-		asOf = min(asOf, f.reloaded-turn.Span(feed.SilenceClock-feed.ReloadClock))
+	if f.lapsesBy > 0 {
+		asOf = min(asOf, f.lapsesBy-turn.Span(feed.SilenceClock))
 	}
 	f.e.ListConfirmed(asOf)
 }
