--- a/cmd/mallowlanding/discovery_outage_test.go
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -221,7 +221,11 @@
 	for i := range outageWorkers {
 		f.workers = append(f.workers, newOutageWorker(f, i))
 	}
-	f.discovery.tell(f.list("active", 0, 1, 2, 3, 4, 5, 6, 7), true)
+	var all []int
+	for i := range f.workers {
+		all = append(all, i)
+	}
+	f.discovery.tell(f.list("active", all...), true)
 	f.discovery.tell(f.list("active", 0), false) // so that there is an older state than the one that is known
 	for range outageFrontEnds {
 		fe := &outageFrontEnd{address: freeAddress(t), config: filepath.Join(t.TempDir(), "config.json")}
--- a/router/evidence.go
+++ b/router/evidence.go
@@ -55,7 +55,10 @@
 	if r.listLasts == 0 || r.now-r.turn <= r.drainGrace/2 || r.wokeAt == r.now {
 		return
 	}
-	r.wokeAt, r.sleptAt = r.now, r.turn
+	if r.listAsOf >= r.wokeAt { // else the list is older than a pause before this one
+		r.sleptAt = r.turn
+	}
+	r.wokeAt = r.now
 	r.timeList()
 	r.port.Log(fmt.Sprintf("stood still for %d ms: the list is asked for anew", (r.now-r.turn)/ms))
 	r.port.Listen()
--- a/router/placement.go
+++ b/router/placement.go
@@ -45,8 +45,7 @@
 			p.order(homes[0])
 		}
 	}
-	waited := p.at < r.now && !(p.reason == Unconfirmed && r.now-p.at <= askWait) // a check takes next to no time
-	if best == nil && waited && !p.timeToLoad() {                                 // it would end waiting, and the load in vain
+	if best == nil && p.hasWaited() && !p.timeToLoad() { // it would end waiting, and the load in vain
 		return p.keep(cmp.Or(p.reason, LoadTime)) // what held it before tells more
 	}
 	if best = cmp.Or(best, joining); best != nil { // exception: it joins a load of ours, within its lanes
@@ -65,6 +64,11 @@
 	return p.load(count, roomy)
 }
 
+// hasWaited: the RPC was held. A worker's check alone takes next to no time.
+func (p *RPC) hasWaited() bool {
+	return p.at < p.r.now && !(p.reason == Unconfirmed && p.r.now-p.at <= askWait)
+}
+
 // keep notes what keeps the RPC from going out; it is false, as place's answer.
 func (p *RPC) keep(why Reason) bool {
 	p.reason = why
