Exchanges read their own copy of the pause bound, not the set's

Seen: the race detector, in conversations with a reload: Set.Renew writes the options while an exchange reads PauseMost of them in Set.paused. An exchange has the options that it began with, as for its other bounds.

--- a/cmd/mallowlanding/discovery_outage_test.go
+++ b/cmd/mallowlanding/discovery_outage_test.go
@@ -627,19 +627,20 @@
 
 func newDiscovery(t *testing.T) *discovery {
 	d := &discovery{t: t, more: make(chan struct{}), conns: map[net.Conn]bool{}}
-	d.listen("127.0.0.1:0")
+	d.address = d.listen("127.0.0.1:0")
 	t.Cleanup(func() { d.fail(discoveryRefuses) })
 	return d
 }
 
-func (d *discovery) listen(address string) {
+// listen takes connections at an address, and tells which one it is.
+func (d *discovery) listen(address string) string {
 	d.t.Helper()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		d.t.Error(err)
-		return
+		return address
 	}
-	d.l, d.address = l, l.Addr().String()
+	d.l = l
 	go func() {
 		for {
 			nc, err := l.Accept()
@@ -652,6 +653,7 @@
 			go d.serve(nc)
 		}
 	}()
+	return l.Addr().String()
 }
 
 func (d *discovery) tell(instances []any, whole bool) {
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -47,7 +47,7 @@
 	ConnectTimeOut time.Duration
 	OrderTimeOut   time.Duration // an order without an answer by then is given up
 	Idle           time.Duration // workers close connections idle for so long; we do in half that time
-	PauseMost      time.Duration // nothing that was decided before a longer pause of the process begins; 0: any pause
+	PauseMost      time.Duration // nothing that was decided before a longer pause of the process begins; 0: pauses do not matter
 	Connections    int           // to all workers at once, idle ones included
 	Values         []string      // the figures of a load report, in our words, by their places
 	Dialer         Dialer        // nil: hop's
@@ -148,7 +148,7 @@
 // Begin notes pauses of the process, and looks after idle connections.
 func (s *Set) Begin() {
 	turnAt := s.loop.Now()
-	if s.paused(turnAt) {
+	if s.paused(turnAt, s.o.PauseMost) {
 		s.wokeAt.Store(int64(turnAt))
 	}
 	s.lastTurn.Store(int64(turnAt))
@@ -162,10 +162,11 @@
 	}
 }
 
-// paused: no turn came for long. Nobody knows what the list of workers has told meanwhile.
-func (s *Set) paused(now router.Time) bool {
+// paused: no turn came for longer than most; 0: for however long. Nobody knows what the list of workers has told
+// meanwhile. Any goroutine may ask.
+func (s *Set) paused(now router.Time, most time.Duration) bool {
 	last := router.Time(s.lastTurn.Load())
-	return s.o.PauseMost > 0 && last > 0 && now-last > turn.Span(s.o.PauseMost)
+	return most > 0 && last > 0 && now-last > turn.Span(most)
 }
 
 // Close closes all idle connections: the front end ends.
@@ -363,7 +364,7 @@
 		return false
 	}
 	now := x.l.s.loop.Now()
-	return now > x.beginBy || x.l.s.paused(now) || x.decided < router.Time(x.l.s.wokeAt.Load())
+	return now > x.beginBy || x.l.s.paused(now, x.o.PauseMost) || x.decided < router.Time(x.l.s.wokeAt.Load())
 }
 
 // giveUp closes the connection: that is how a worker is told. Nothing begins any more.
