--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -61,10 +62,19 @@
 	return cmd, log
 }
 
-// freeAddress is one that nobody listens at now.
+var loopbacks atomic.Uint32
+
+// loopback is an address of this machine that no other test has, with a port still to be chosen: one that is freed, to
+// be listened at later, is taken by nobody meanwhile.
+func loopback() string {
+	n := loopbacks.Add(1)
+	return fmt.Sprintf("127.1.%d.%d:0", n/250, n%250+1)
+}
+
+// freeAddress is one that nobody listens at now, nor will.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback())
 	if err != nil {
 		t.Fatal(err)
 	}
