A worker that turns away while idle is suspected before the list is too old; its passed check is void

Traced: the worker had turned their RPCs away for seconds, but RPC.judge noted that only once the list had lapsed, so that the first check counted; and after the next refusal that check went on to count for its half second.

Now a refusal that nothing explains is noted at any time and stands until an RPC sent later is served, the list is confirmed as of later, or the worker reports to be busy; checks are evidence of their own (passedAt) and void under suspicion.

--- a/router/evidence.go
+++ b/router/evidence.go
@@ -30,7 +30,7 @@
 		return
 	}
 	for _, w := range r.list { // the list tells by itself who has restarted
-		w.refused, w.turnedAwayAt, w.askNext, w.askPause = false, 0, 0, 0
+		w.refused, w.askNext, w.askPause = false, 0, 0
 	}
 }
 
@@ -68,7 +68,17 @@
 func (r *Router) listLapsed() bool { return r.now+beat > r.listUntil }
 
 // sendBy is the last moment at which a call-out's or an order's first byte may go to the worker.
-func (r *Router) sendBy(w *worker) Time { return max(r.listUntil, w.provenAt+r.drainGrace) }
+func (r *Router) sendBy(w *worker) Time {
+	proven := w.provenAt
+	if !r.suspected(w) {
+		proven = max(proven, w.passedAt)
+	}
+	return max(r.listUntil, proven+r.drainGrace)
+}
+
+// suspected: the worker may drain and pass its checks, since it turned away what it had room for. The list, once it is
+// confirmed as of later, knows better.
+func (r *Router) suspected(w *worker) bool { return w.turnedAwayAt > max(r.listAsOf, 0) }
 
 // confirmed: there is evidence that the worker does not drain, and time left to send on it.
 func (r *Router) confirmed(w *worker) bool { return r.now+beat <= r.sendBy(w) }
@@ -98,16 +108,17 @@
 // learnFromCheck takes a check's end as evidence for or against the worker.
 func (r *Router) learnFromCheck(w *worker, o Outcome, began Time) {
 	switch {
-	case o == OK && w.turnedAwayAt > 0 && !r.looksBusy(w):
-		w.postpone(r) // it turned away what it had room for: it may drain and pass its checks
+	case o == OK && r.suspected(w) && !r.looksBusy(w):
+		w.postpone(r)
 	case o == OK:
+		w.turnedAwayAt = 0
 		if w.refused { // it went, or drained, and is back: whatever it is by now, it began anew
 			r.port.Log(fmt.Sprintf("worker %d passes its check again: taken for restarted", w.id))
 			w.restart(r.now)
 			w.refused = false
 		}
 		w.askPause = 0
-		w.proved(began)
+		w.passedAt = max(w.passedAt, began)
 	case o == Full: // no descriptor of ours was free: it tells nothing of the worker
 		w.askNext = r.now + beat
 	case r.listLapsed():
@@ -126,9 +137,10 @@
 }
 
 // learnFromRefusal: full proves neither that a worker drains nor that it does not. But one that looks idle and turns away
-// what a warm copy has lanes for may drain, and its checks are then no evidence, whatever they say.
+// what a warm copy has lanes for may drain, and its checks are then no evidence, those before it neither. That may begin
+// long before the list is too old.
 func (r *Router) learnFromRefusal(w *worker, cold bool) {
-	if r.listLapsed() && !cold && !r.looksBusy(w) && r.set.num("report.values.util", -1) >= 0 {
+	if !cold && !r.looksBusy(w) && r.set.num("report.values.util", -1) >= 0 {
 		w.turnedAwayAt = r.now
 	}
 }
--- a/router/forget.go
+++ b/router/forget.go
@@ -36,5 +36,5 @@
 	if w := r.workers[id]; w != nil {
 		return w
 	}
-	return &worker{id: id, provenAt: never, holds: map[FunctionID]*instance{}}
+	return &worker{id: id, provenAt: never, passedAt: never, holds: map[FunctionID]*instance{}}
 }
--- a/router/membership.go
+++ b/router/membership.go
@@ -103,7 +103,7 @@
 	kind KindID, _ float64) {
 	w := r.workers[id]
 	if w == nil {
-		w = &worker{id: id, started: started, known: started > 0, slow: 1, provenAt: never,
+		w = &worker{id: id, started: started, known: started > 0, slow: 1, provenAt: never, passedAt: never,
 			holds: map[FunctionID]*instance{}}
 		r.workers[id], r.list = w, append(r.list, w)
 		slices.SortFunc(r.list, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
--- a/router/state.go
+++ b/router/state.go
@@ -64,6 +64,7 @@
 	util, pinned      float64   // as last reported
 	bound             float64   // RPCs of ours that it is given at once, where its cores leave room for more
 	provenAt          Time      // when it last proved not to drain, as of the proof's begin
+	passedAt          Time      // when the last check that it passed was sent
 	askedAt           Time      // when the check that is out was sent
 	askNext, askPause Time      // it is not asked for evidence before; the last pause, doubling
 	refused           bool      // a check failed since it last passed one, with the list too old
