Read-over: half the grace is decided once, tests read a frame in one place

The longest pause that decisions outlast stood twice, in Router.noticePause and in platform's options: router.PauseMost tells it to both. The outage tests read frames as receive did: readFrame serves both, receive still fails the test. A lock of theirs that guarded nothing is gone, and a comment of Set.paused said the opposite of what 0 means. Behaviour, bounds and assertions as before.

--- a/cmd/mallowlanding/outage_fleet_test.go
+++ b/cmd/mallowlanding/outage_fleet_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
-	"encoding/binary"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -41,7 +39,6 @@
 
 type outageFrontEnd struct {
 	address, config string
-	mu              sync.Mutex
 	process         *exec.Cmd
 	log             *bytes.Buffer
 }
@@ -128,10 +125,7 @@
 func (f *outageFleet) launch(i int) {
 	f.t.Helper()
 	fe := f.frontEnds[i]
-	process, log := start(f.t, fe.config)
-	fe.mu.Lock()
-	fe.process, fe.log = process, log
-	fe.mu.Unlock()
+	fe.process, fe.log = start(f.t, fe.config)
 }
 
 func (f *outageFleet) signal(i int, signal os.Signal) {
@@ -234,15 +228,8 @@
 	if _, err := nc.Write(encode("execute", seq, fields)); err != nil {
 		return false, err
 	}
-	if err := nc.SetReadDeadline(time.Now().Add(patience)); err != nil {
-		return false, err
-	}
-	var n uint32
-	if err := binary.Read(nc, binary.BigEndian, &n); err != nil {
-		return false, err
-	}
-	text := make([]byte, n)
-	if _, err := io.ReadFull(nc, text); err != nil {
+	text, err := readFrame(nc)
+	if err != nil {
 		return false, err
 	}
 	ctx, buf := context.Background(), wire.NewTMemoryBuffer()
--- a/cmd/mallowlanding/platform_test.go
+++ b/cmd/mallowlanding/platform_test.go
@@ -124,16 +124,25 @@
 // receive reads one frame.
 func receive(t *testing.T, nc net.Conn) []byte {
 	t.Helper()
-	_ = nc.SetReadDeadline(time.Now().Add(patience))
+	text, err := readFrame(nc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// readFrame reads one frame, for as long as a test is patient.
+func readFrame(nc net.Conn) ([]byte, error) {
+	if err := nc.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		return nil, err
+	}
 	var n uint32
 	if err := binary.Read(nc, binary.BigEndian, &n); err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	text := make([]byte, n)
-	if _, err := io.ReadFull(nc, text); err != nil {
-		t.Fatal(err)
-	}
-	return text
+	_, err := io.ReadFull(nc, text)
+	return text, err
 }
 
 // TestPlatformToldTwice: told twice to leave it still answers what it holds, and ends well.
--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// paused: no turn came for longer than most; 0: for however long. Nobody knows what the list of workers has told
+// paused: no turn came for longer than most; with 0 none counts as a pause. Nobody knows what the list of workers has told
 // meanwhile. Any goroutine may ask.
 func (s *Set) paused(now router.Time, most time.Duration) bool {
 	last := router.Time(s.lastTurn.Load())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -125,7 +125,7 @@
 	return httplink.Options{ConnectTimeOut: c.span(terms.May, terms.ConnectTimeOut, 250*time.Millisecond),
 		OrderTimeOut: c.span(terms.Functions, terms.OrderTimeOut, 10*time.Second),
 		Idle:         c.span(terms.May, terms.IdleClose, 10*time.Second),
-		PauseMost:    c.span(terms.Rules, terms.Drain, 0) / 2,
+		PauseMost:    turn.Duration(router.PauseMost(c.Module)),
 		Connections:  c.connections(), Values: c.Values, Dialer: f.dials, Log: f.log}
 }
 
--- a/router/evidence.go
+++ b/router/evidence.go
@@ -48,11 +48,14 @@
 	}
 }
 
+// PauseMost is the longest pause of the process that what is known, and what was decided, outlasts: half the grace, so that
+// enough of it remains for what follows the pause. 0: the settings state no grace.
+func PauseMost(s Settings) Time { return s.span("rules.drain", 0) / 2 }
+
 // noticePause: the list holds since changes are heard of at once. While we stood still nothing was heard, and what was told
-// then counts as told: a list from before a pause is evidence of when the pause began. It is asked for anew. A pause of half
-// the grace is left alone, so that enough of the grace remains for what follows it.
+// then counts as told: a list from before a pause is evidence of when the pause began. It is asked for anew.
 func (r *Router) noticePause() {
-	if r.listLasts == 0 || r.now-r.turn <= r.drainGrace/2 || r.wokeAt == r.now {
+	if r.listLasts == 0 || r.now-r.turn <= PauseMost(r.set) || r.wokeAt == r.now {
 		return
 	}
 	if r.listAsOf >= r.wokeAt { // else the list is older than a pause before this one
