--- a/review/testdata/lab/world.go
+++ b/review/testdata/lab/world.go
@@ -173,12 +173,13 @@
 	mu                  sync.Mutex
 	conns               map[net.Conn]bool
 	listener            net.Listener
-	loaded              map[string]bool
+	loaded              map[string]chan struct{} // by function; closed once the copy stands
+	Load                time.Duration            // time of a load
 }
 
 // NewWorker starts a worker.
 func NewWorker(name string, record *Record) *Worker {
-	w := &Worker{Name: name, Zone: "hall-a", Cell: 1, record: record, conns: map[net.Conn]bool{}, loaded: map[string]bool{}}
+	w := &Worker{Name: name, Zone: "hall-a", Cell: 1, record: record, conns: map[net.Conn]bool{}, loaded: map[string]chan struct{}{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		CannotRun("worker: %v", err)
@@ -271,14 +272,10 @@
 		parts := strings.Split(in.URL.Path, "/")
 		fn, n := parts[3], 0
 		copies, _ := strconv.Atoi(parts[4])
-		w.mu.Lock()
-		if copies > 0 {
-			w.loaded[fn] = true
-		}
-		if w.loaded[fn] {
+		if copies > 0 || w.stands(fn) {
+			<-w.load(fn)
 			n = 1
 		}
-		w.mu.Unlock()
 		if copies > 0 {
 			w.record.Add("%s: order of %d copies of %s", w.Name, copies, fn)
 		}
@@ -289,13 +286,11 @@
 	r := &Request{Worker: w, Method: in.Method, Path: in.URL.Path, Class: strings.TrimPrefix(in.URL.Path, "/v2/q/"), Ticket: in.Header.Get("X-Ticket"),
 		Nonce: in.Header.Get("X-Nonce"), Function: in.Header.Get("X-Ref"), Body: body, Arrived: time.Now(), Gone: gone}
 	r.MaxMs, _ = strconv.Atoi(in.Header.Get("X-Max-Ms"))
-	w.mu.Lock()
 	remark := "X-Remark: warm\r\n"
-	if !w.loaded[r.Function] {
-		w.loaded[r.Function] = true
+	if !w.stands(r.Function) {
 		remark = "X-Remark: cold\r\n"
+		<-w.load(r.Function)
 	}
-	w.mu.Unlock()
 	reply := w.Handle(r)
 	if reply.Remark == "" && (reply.Status == 0 || reply.Status == 200) {
 		reply.Remark = remark
@@ -303,12 +298,39 @@
 	return reply
 }
 
+// stands reports whether a copy of the function stands loaded.
+func (w *Worker) stands(function string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.loaded[function]:
+		return true
+	default:
+		return false
+	}
+}
+
+// load loads the function, unless that has begun, and returns a channel that is closed once a copy stands.
+func (w *Worker) load(function string) <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	done := w.loaded[function]
+	if done == nil {
+		done = make(chan struct{})
+		w.loaded[function] = done
+		w.record.Add("%s: begins to load %s", w.Name, function)
+		time.AfterFunc(w.Load, func() { close(done) })
+	}
+	return done
+}
+
 // Preload makes functions stand loaded.
 func (w *Worker) Preload(functions ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, fn := range functions {
-		w.loaded[fn] = true
+		w.loaded[fn] = make(chan struct{})
+		close(w.loaded[fn])
 	}
 }
 
