Review, case 2: silent clients by hundreds keep usual requests from their answers

Accepting waits for the descriptor of each connection that gives way, so usual clients' requests stand in the backlog behind the silent ones. It takes the place of the case of a front end that stands still, which the report describes; the adapter's is now case 3.

--- a/review/testdata/case3/main.go
+++ b/review/testdata/case3/main.go
@@ -1,141 +1,272 @@
-// Case 3: after the front end has stood still, the requests that it finds get their answers too late.
+// Case 3: the adapter ends when discovery has nothing new to tell.
+//
+// A small simulator speaks the wire (pebble-9550) with the deploy file's sim command, on the real clock: one instance,
+// two workers that serve every request, and discovery that is asked (registryMode subscribe).
 package main
 
 import (
+	"encoding/binary"
+	"encoding/json"
 	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/exec"
 	"path/filepath"
-	"sync"
-	"syscall"
+	"strings"
 	"time"
 
 	"mallowlanding/review/testdata/lab"
 )
 
 const (
-	stall  = 1900 * time.Millisecond // the pages: 1,100 to 2,000 ms
-	every  = 4 * time.Second         // the pages: every 2 to 4 s
-	stalls = 5                       // over 20 s; the pages: for 18 to 37 s
-	budget = 1500 * time.Millisecond // of a deadline of 3 s; the pages: 50 to 100% of it
-	load   = 1000 * time.Millisecond // of a copy; the pages: 0.51 to 1.1 s on average
-	work   = 100 * time.Millisecond
-	slack  = 500 * time.Millisecond // STANDING: "Up to half a second after its time it only earns nothing"
-	each   = 4                      // requests that come while the front end stands still, 50 ms apart
-	first  = 450 * time.Millisecond // when the first of them comes: its time ends 50 ms after the front end goes on
+	instance = 3
+	dayS     = 8
+	tick     = 2 * time.Millisecond
+	function = 0x7c55d20a01
 )
 
 func main() { lab.Main(play) }
 
-type request struct {
-	sent     time.Time
-	answered time.Time
-	kind     string
+// event is something that reaches the instance at its time.
+type event struct {
+	at   time.Duration
+	data []byte
 }
 
+type simulator struct {
+	in     io.Writer
+	out    io.Reader
+	record *lab.Record
+	start  time.Time
+	later  []event
+	listed int // workers that the instance's list has
+	asked  int // calls of LISTEN
+	sent   map[uint32]int
+	over   map[uint32]bool
+}
+
+// workers are those that run. The first two run since long ago, the third one is listed later.
+var workers = []uint32{0x03124a07, 0x2c9011f2, 0x5b7e00c4}
+
 func play() bool {
-	root, run, folder, temporary := lab.Paths()
+	root, _, folder, temporary := lab.Paths()
 	record := lab.NewRecord(filepath.Join(folder, "record.txt"))
-	journal := lab.NewJournal(record)
-	var instances []lab.Instance
-	for i := range 4 {
-		w := lab.NewWorker(fmt.Sprintf("w%d", i+1), record)
-		w.Load = load
-		w.Handle = func(r *lab.Request) lab.Reply {
-			record.Add("%s: runs request %s", w.Name, r.Ticket)
-			time.Sleep(work)
-			return lab.Reply{Body: r.Body}
-		}
-		instances = append(instances, w.Entry("active"))
-	}
-	journal.Tell(true, instances...)
-	config := lab.Config{Name: "n0", Listen: lab.FreeAddress(), Journal: journal.Address, MemoryMB: 64, Sockets: 384,
-		Known: journal.Known(), Settings: lab.Settings()}
-	path := filepath.Join(temporary, "config.json")
-	config.Write(path)
-	frontEnd := lab.Start(root, run, path, config.Listen, filepath.Join(temporary, "front-end.log"), record)
-	frontEnd.AwaitReady(record)
-
-	c, err := lab.Dial(config.Listen)
+	cmd := exec.Command("/bin/sh", "-c", simCommand(root))
+	cmd.Dir = root
+	errors, err := os.Create(filepath.Join(temporary, "stderr"))
 	if err != nil {
-		lab.CannotRun("client: %v", err)
+		lab.CannotRun("%v", err)
 	}
-	defer c.Close()
-	var mu sync.Mutex
-	open := map[int32]*request{}
-	go func() {
-		for {
-			a, err := c.Receive()
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			if p := open[a.Seq]; p != nil && p.answered.IsZero() {
-				p.answered, p.kind = time.Now(), a.Kind
-				record.Add("client: request %d is %s, %.0f ms after it was sent", a.Seq, a.Kind, p.answered.Sub(p.sent).Seconds()*1000)
-			}
-			mu.Unlock()
-		}
-	}()
-	var pauses [][2]time.Time
-	stoodStill := func(at time.Time) bool {
-		for _, p := range pauses {
-			if at.After(p[0]) && at.Before(p[1]) {
-				return true
-			}
+	cmd.Stderr = errors
+	in, err1 := cmd.StdinPipe()
+	out, err2 := cmd.StdoutPipe()
+	if err1 != nil || err2 != nil || cmd.Start() != nil {
+		lab.CannotRun("the adapter does not start")
+	}
+	lab.EndAtExit(cmd.Process)
+	record.Add("simulator: started %q, process %d", simCommand(root), cmd.Process.Pid)
+	s := &simulator{in: in, out: out, record: record, sent: map[uint32]int{}, over: map[uint32]bool{}}
+	answered := make(chan error, 1)
+	go func() { answered <- s.day() }()
+	select {
+	case err = <-answered:
+	case <-time.After((dayS + 25) * time.Second): // a missing reply is a fault after 20 s
+		err = fmt.Errorf("no reply")
+	}
+	if err == nil {
+		in.Close() // the end of the input means exit
+		err = cmd.Wait()
+		record.Add("simulator: the day is over after %d calls of LISTEN, the adapter ended with %v", s.asked, err)
+		if err != nil {
+			return true
 		}
+		fmt.Println("the adapter played the whole day")
 		return false
 	}
-	seq := int32(0)
-	send := func(function string) {
-		seq++
-		mu.Lock()
-		open[seq] = &request{sent: time.Now()}
-		mu.Unlock()
-		record.Add("client: sends request %d for function %s, which waits %v", seq, function, budget)
-		if _, err := c.Write(lab.Execute(seq, []byte("seat"), "method", "seat-query", "rid", fmt.Sprintf("%016x", 0xc0000000+int64(seq)),
-			"budget", fmt.Sprint(budget.Milliseconds()), "acct", "acme", "obj", function, "facts", "memory_mb:400;lanes:4")); err != nil {
-			record.Add("client: %v", err)
+	in.Close()
+	end := cmd.Wait()
+	text, _ := os.ReadFile(filepath.Join(temporary, "stderr"))
+	record.Add("simulator: %v; the adapter has ended by itself: %v, standard error: %s", err, end, strings.TrimSpace(string(text)))
+	fmt.Printf("the adapter has ended by itself: %v: %s\n", end, strings.TrimSpace(string(text)))
+	return true
+}
+
+func simCommand(root string) string {
+	text, _ := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "sim = "); ok {
+			return strings.Trim(strings.TrimSpace(value), `"`)
 		}
 	}
-	// Ordinary traffic for 3 s, on one function. Its answers are there before the front end stands still.
-	for range 30 {
-		send("7f3a9c21e0b4d655")
-		time.Sleep(100 * time.Millisecond)
+	lab.CannotRun("the deploy file has no sim command")
+	return ""
+}
+
+func settings() []byte {
+	s := lab.Settings()
+	s["registryMode"] = "subscribe"
+	text, err := json.Marshal(s)
+	if err != nil {
+		lab.CannotRun("%v", err)
 	}
-	time.Sleep(500 * time.Millisecond)
-	for n := range stalls {
-		began := time.Now()
-		if lab.Trouble() {
-			frontEnd.Signal(syscall.SIGSTOP)
-			record.Add("platform: the front end stands still")
-		}
-		for k := range each { // functions that were not called before
-			time.Sleep(time.Until(began.Add(first + time.Duration(k)*50*time.Millisecond)))
-			send(fmt.Sprintf("%016x", 0xf000+n*each+k))
-		}
-		time.Sleep(time.Until(began.Add(stall)))
-		if lab.Trouble() {
-			pauses = append(pauses, [2]time.Time{began, time.Now()})
-			frontEnd.Signal(syscall.SIGCONT)
-			record.Add("platform: the front end goes on after %.0f ms", time.Since(began).Seconds()*1000)
+	return text
+}
+
+var le = binary.LittleEndian
+
+// inventory is a list of workers under a number, and targets what discovery tells the instance.
+func inventory(number byte, listed ...uint32) []byte {
+	b := le.AppendUint32([]byte{80, number}, uint32(len(listed)))
+	for _, w := range listed {
+		b = le.AppendUint64(b, 0) // started long ago
+		b = le.AppendUint16(b, 0)
+		b = le.AppendUint32(b, w)
+		b = le.AppendUint16(b, 0)
+		b = append(b, 1, 0) // ready, kind 0
+		b = le.AppendUint32(b, math.Float32bits(1))
+	}
+	return b
+}
+
+func targets(form byte, version uint64, number byte) []byte {
+	return append(le.AppendUint64([]byte{120, form}, version), number)
+}
+
+func context() []byte { return le.AppendUint16([]byte{20}, instance) }
+
+// exchange sends one batch and handles its reply.
+func (s *simulator) exchange(now time.Duration, records ...[]byte) error {
+	var body []byte
+	for _, r := range records {
+		body = append(body, r...)
+	}
+	frame := le.AppendUint32(nil, uint32(len(body)))
+	frame = le.AppendUint32(frame, uint32(len(records)))
+	frame = le.AppendUint64(frame, uint64(10*time.Second+now))
+	if _, err := s.in.Write(append(frame, body...)); err != nil {
+		return fmt.Errorf("the batch at %v can't be written: %w", now, err)
+	}
+	var head [8]byte
+	if _, err := io.ReadFull(s.out, head[:]); err != nil {
+		return fmt.Errorf("the batch at %v has no reply: %w", now, err)
+	}
+	reply := make([]byte, le.Uint32(head[:]))
+	if _, err := io.ReadFull(s.out, reply); err != nil {
+		return fmt.Errorf("the reply to the batch at %v breaks off: %w", now, err)
+	}
+	return s.act(now, reply, int(le.Uint32(head[4:])))
+}
+
+// act carries out the actions of a reply.
+func (s *simulator) act(now time.Duration, b []byte, records int) error {
+	next := func(n int) []byte { out := b[:n]; b = b[n:]; return out }
+	then := func(after time.Duration, data []byte) { s.later = append(s.later, event{now + after, data}) }
+	for range records {
+		switch code := next(1)[0]; code {
+		case 150: // AT
+			next(2)
+		case 10: // SEND: served after 60 ms by a copy that stands loaded
+			f := next(16)
+			id := le.Uint32(f)
+			n := s.sent[id]
+			s.sent[id]++
+			r := le.AppendUint32([]byte{30}, id)
+			r = append(r, 1, byte(n))
+			r = append(r, f[4:8]...)
+			r = le.AppendUint32(append(r, 10), 1)
+			r = le.AppendUint64(r, uint64(60*time.Millisecond))
+			then(60*time.Millisecond, append(r, 0))
+			s.over[id] = true
+			s.record.Add("instance: SEND of request %d to worker %x; served", id, le.Uint32(f[4:]))
+		case 20: // REFUSE
+			f := next(12)
+			s.record.Add("instance: REFUSE of request %d", le.Uint32(f))
+		case 30:
+			s.record.Add("instance: END_FAILED of request %d", le.Uint32(next(4)))
+		case 40:
+			next(5)
+		case 50: // REMIND
+			f := next(16)
+			then(max(time.Duration(le.Uint64(f)), tick), append([]byte{10}, f[8:]...))
+		case 60: // CHECK: passed
+			f := next(4)
+			r := le.AppendUint64([]byte{60, 10}, uint64(time.Millisecond))
+			then(time.Millisecond, append(append(r, f...), 0))
+		case 90: // SAY_LOG
+			s.record.Add("instance: log: %s", next(int(le.Uint16(next(2)))))
+		case 110: // LISTEN: answered by what has changed since the instance's list
+			next(1)
+			s.asked++
+			var changed []uint32
+			if !lab.Trouble() && s.listed < len(workers) {
+				changed = workers[s.listed:] // without the disruption something has changed
+				s.listed = len(workers)
+			}
+			s.record.Add("instance: LISTEN; discovery answers with %d changed entries", len(changed))
+			then(20*time.Millisecond, append(inventory(1, changed...), targets(0, uint64(41+s.asked), 1)...))
+		case 130: // HOLD_THERE: the copies stand
+			f := next(13)
+			r := append([]byte{40, 10}, f[:8]...)
+			r = append(append(r, f[9:]...), max(f[8], 1))
+			then(20*time.Millisecond, le.AppendUint64(r, uint64(20*time.Millisecond)))
+		case 140:
+			next(12)
+		default:
+			return fmt.Errorf("the reply has an action %d", code)
 		}
-		time.Sleep(time.Until(began.Add(every)))
 	}
-	time.Sleep(3 * time.Second)
-	mu.Lock()
-	defer mu.Unlock()
-	late, excused := 0, 0
-	for seq := int32(1); seq <= int32(len(open)); seq++ {
-		p := open[seq]
-		if end := p.sent.Add(budget); stoodStill(end) { // nobody could have answered in time
-			excused++
-			continue
+	return nil
+}
+
+// day plays dayS seconds with one request each 100 ms.
+func (s *simulator) day() error {
+	s.start, s.listed = time.Now(), 2
+	if err := s.exchange(0); err != nil {
+		return err
+	}
+	info := settings()
+	up := le.AppendUint64([]byte{110}, 5)
+	up = append(le.AppendUint32(up, uint32(len(info))), info...)
+	s.record.Add("simulator: UP of instance %d, with its saved list of %d workers", instance, s.listed)
+	if err := s.exchange(time.Since(s.start), context(), up, inventory(0, workers[:2]...), targets(2, 41, 0)); err != nil {
+		return err
+	}
+	requests := uint32(0)
+	for now := time.Since(s.start); now < dayS*time.Second; now = time.Since(s.start) {
+		var due [][]byte
+		kept := s.later[:0]
+		for _, e := range s.later {
+			if e.at > now {
+				kept = append(kept, e)
+			} else if e.data[0] == 80 { // a list: two records, the first of which stands outside of a context
+				n := len(e.data) - 11
+				due = append(due, e.data[:n], e.data[n:])
+			} else {
+				due = append(due, e.data)
+			}
 		}
-		if p.answered.IsZero() || p.answered.Sub(p.sent) > budget+slack {
-			late++
-			record.Add("RULE: request %d: no answer until %v after its time", seq, slack)
+		s.later = kept
+		if want := uint32(now / (100 * time.Millisecond)); want > requests {
+			requests = want
+			r := le.AppendUint32([]byte{130}, requests)
+			r = le.AppendUint16(r, 0)
+			r = le.AppendUint32(r, 0)
+			r = le.AppendUint64(r, function)
+			r = le.AppendUint64(r, uint64(3*time.Second))
+			r = le.AppendUint64(r, 0)
+			for _, v := range []float32{400, 4, 600} {
+				r = le.AppendUint32(r, math.Float32bits(v))
+			}
+			due = append(due, append(r, 0))
+			s.record.Add("simulator: ORDER of request %d", requests)
+		}
+		if len(due) > 0 {
+			if err := s.exchange(now, append([][]byte{context()}, due...)...); err != nil {
+				return err
+			}
 		}
+		time.Sleep(tick)
 	}
-	record.Add("%d of %d requests got no answer until %v after their time, %d are excused; the front end has ended: %v", late, len(open), slack, excused, frontEnd.HasEnded())
-	fmt.Printf("%d of %d requests got no answer until %v after their time\n", late, len(open), slack)
-	return late > 0 || frontEnd.HasEnded()
+	return nil
 }
