Adapter keeps a worker list without entries as sent, and no longer exits on it

Cause: storeList copied the entries with append([]byte(nil), entries...), which is nil for no entries, and workerList took a nil list for one that was never sent. The wire sets no least number of entries.

Evidence, by a probe in a scratch copy: "stored list 1: stated entries 0, read 0 bytes, read nil false, kept nil true", then "update 0 uses list 1, nil true". So the list arrived and was decoded under its number, and was lost when it was copied. Ruled out by the test on the former code: another number (0, 1 and 15 fail alike), a list dropped between two batches (number 0 had an entry in the batch before, and fails only once an empty list has taken the number), one kind of update (changes, complete, cached all fail), an update that is used twice (one entry passes, none fails).

Change: the lists are a map by number, so a list was sent if its number is in the map, whatever its entries.

--- a/internal/simadapter/serve.go
+++ b/internal/simadapter/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 
 	"mallowlanding/internal/operatorsettings"
 	"mallowlanding/internal/routing"
@@ -33,7 +34,7 @@
 // host holds the instances of one process. They share the reply and the bytes of the worker lists, nothing else.
 type host struct {
 	instances map[uint16]*instance
-	lists     [maxLists][]byte
+	lists     map[uint8][]byte // entries of the worker lists by number; a list that was sent may have none
 	reply     writer
 	acting    *instance // whose actions are being added to the reply
 	now       router.Time
@@ -48,7 +49,7 @@
 
 // Serve answers frames until the end of the input.
 func Serve(in io.Reader, out io.Writer) error {
-	h := &host{instances: map[uint16]*instance{}}
+	h := &host{instances: map[uint16]*instance{}, lists: map[uint8][]byte{}}
 	buffered := bufio.NewReaderSize(in, 1<<16)
 	for {
 		records, clock, body, err := readFrame(buffered)
@@ -160,7 +161,7 @@
 			return fmt.Errorf("readiness %d: %w", entries[offset], errUnknown)
 		}
 	}
-	h.lists[slot] = append([]byte(nil), entries...)
+	h.lists[slot] = slices.Clone(entries)
 	return nil
 }
 
@@ -268,7 +269,8 @@
 	if !known {
 		return fmt.Errorf("worker list update %d: %w", code, errUnknown)
 	}
-	if update != router.ListFailed && (slot >= maxLists || h.lists[slot] == nil) {
+	entries, sent := h.lists[slot]
+	if update != router.ListFailed && !sent {
 		return fmt.Errorf("worker list number %d was never sent", slot)
 	}
 	if inst == nil {
@@ -276,7 +278,7 @@
 	}
 	inst.router.BeginWorkerList(h.now, update, version)
 	if update != router.ListFailed {
-		for entry := (&reader{buf: h.lists[slot]}); len(entry.buf) > 0; {
+		for entry := (&reader{buf: entries}); len(entry.buf) > 0; {
 			started, zone, w, cell := entry.u64(), entry.u16(), entry.u32(), entry.u16()
 			state, kind, size := entry.u8(), entry.u8(), entry.f32()
 			inst.router.AddListedWorker(h.now, router.WorkerID(w), readiness[state], router.Time(started/nsPerUnit),
