A roster's list that lacks its workers is refused, not taken for an empty one

Found beside the adapter's exit on lists without entries, while looking for places that do not tell "no list" from "a list without entries". Here the two were confused the other way round: roster.list {version, whole: true} without the member "workers" was applied as a complete list without workers, so that every worker counted as gone, and clients were denied until the next list.

Cause: HandleRequest (rosterwatch) did not look whether the member came; a slice that was never filled is an empty list. Our own roster always sends the member, so only a malformed message does this; docs/protocol.md names the member without leave to omit it.

Change: a list without the member is invalid, like one with an unknown state: an error is logged with the version, the connection ends, the last list stands.

--- a/internal/rosterwatch/watcher.go
+++ b/internal/rosterwatch/watcher.go
@@ -304,7 +304,7 @@
 	if method != "roster.list" {
 		return
 	}
-	version, complete := 0.0, false
+	version, complete, hasWorkers := 0.0, false, false
 	var workers []entry
 	err := jsonrpc.ForEachMember(params, func(name []byte, v jsontext.Value) (err error) {
 		switch string(name) {
@@ -313,10 +313,14 @@
 		case "whole":
 			complete = v.Kind() == 't'
 		case "workers":
+			hasWorkers = v.Kind() == '['
 			err = json.Unmarshal(v, &workers)
 		}
 		return err
 	})
+	if err == nil && !hasWorkers {
+		err = errors.New(`"workers" is missing`)
+	}
 	if err == nil {
 		err = checkList(workers)
 	}
