--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -352,9 +352,12 @@
 	return []Event{out}
 }
 
-// parseWorkers parses a list of instances and skips those in an unknown state.
+// parseWorkers parses a list of instances and skips those in an unknown state. Without a list there are none.
 func (f *Feed) parseWorkers(instances any) (out []Worker, err error) {
-	list, _ := instances.([]any)
+	list, isList := instances.([]any)
+	if !isList && instances != nil {
+		return nil, errors.New(`"instances" is not a list`)
+	}
 	for i, instance := range list {
 		m, _ := instance.(map[string]any)
 		text := func(name string) string { s, _ := m[name].(string); return s }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -235,6 +235,7 @@
 	s.expectRequest(0).respond(responseJSON(entryJSON(1, true, "a=active")))
 	tf.expectEvents("1 whole a=1")
 	for _, bad := range []string{`{`, `[]`, `{"entries":{}}`, responseJSON(`{"hosts":{}}`), responseJSON(`{"pos":1.5,"hosts":{}}`),
+		responseJSON(`{"pos":2,"hosts":{"reset":true,"instances":{}}}`), responseJSON(`{"pos":2,"hosts":{"reset":true,"instances":"a"}}`),
 		responseJSON(entryJSON(2, false, "b=active"), `{"pos":3,"hosts":{"instances":[{"lifecycle":"active"}]}}`)} {
 		s.expectRequest(1).respond(bad)
 	}
@@ -327,6 +328,9 @@
 	}{
 		{"all events", []string{first}, true},
 		{"nothing new", []string{first, `{"pos":1,"entries":[]}`}, true},
+		{"an event without workers", []string{first, `{"pos":2,"entries":[` + entryJSON(2, false) + `]}`}, true},
+		{"an event that lacks its instances", []string{first, `{"pos":2,"entries":[{"pos":2,"hosts":{"generation":2}}]}`}, true},
+		{"a complete list without workers", []string{first, `{"pos":2,"entries":[` + entryJSON(2, true) + `]}`}, true},
 		{"service knows of events that it does not send", []string{first, `{"pos":3,"entries":[` + entryJSON(2, false, "b=active") + `]}`}, false},
 		{"an older state", []string{`{"pos":2,"entries":[` + entryJSON(1, true, "a=active") + `,` + entryJSON(2, false, "a=leaving") + `]}`, first}, false},
 		{"last event number is missing", []string{first, `{"entries":[]}`}, false},
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -33,7 +33,7 @@
 // '#' begins a comment. A step that expects something waits for it.
 //
 //	worker W [as V]           start worker W; as V: stop worker V and listen on its address
-//	tell W=STATE ...          add an event to the journal; events before 'start' are in the configuration
+//	tell [W=STATE ...]        add an event to the journal; events before 'start' are in the configuration
 //	fleet N at W STATE        add an event with N more workers at W's address
 //	knows N                   expect that the router knows N ready workers
 //	confirmed                 expect that the router has evidence by the worker list that none of its workers drains
@@ -439,9 +439,9 @@
 	}
 }
 
-// addWorkerEvent adds an event with the WORKER=STATE pairs in words.
+// addWorkerEvent adds an event with the WORKER=STATE pairs in words; there may be none.
 func (s *runner) addWorkerEvent(words []string) {
-	var list []any
+	list := []any{}
 	for _, word := range words {
 		name, state, _ := strings.Cut(word, "=")
 		list = append(list, s.workerEntry(name, s.workers[name], state))
