Gateway scripts: RPCs that span a configuration's rollout get a minute, not two seconds

Traced: a copy of the test that logs each step's time and what was left unread. The step 'config ok' waits until the front end has saved the configuration with fsync, and the control service its log: 45 ms on an idle machine, 0.9 to 1.84 s beside four processes that write and sync files. RPC 1 never went out, so the front end denies it rightly when it is late (soft deadline of 1 s) and half of its 2 s are over; the worker then gets nothing. Unread in that moment: RPC 1 denied, RPC 2 rejected as wanted. Beside the writers 5 of 60 runs failed so, none of 100 without; a wait of 900 ms in place of the slow disk gives the same lines each time. Ruled out: the front end's answer (both are right), a lost list or connection (no connection accepted and not taken), processor load alone (go test ./... beside six busy loops: no step of config.txt over 0.2 s).

Change: 'set methods.deadline-ms' replaces the default of the test's method, and the four scripts in which an RPC is open while a configuration is rolled out give it a minute. What they expect is the same, line by line; each step keeps its own time limit.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,8 +31,8 @@
 // real sockets.
 //
 //	set ATTRIBUTE=VALUE ...   sets attributes of the element clients; functions.ATTRIBUTE, methods.ATTRIBUTE and
-//	                          allow.ATTRIBUTE: of those ($UID: the test's user id); control.keep: the file in which the
-//	                          configuration is saved
+//	                          allow.ATTRIBUTE: of those ($UID: the test's user id); methods: of the method query;
+//	                          control.keep: the file in which the configuration is saved
 //	roster up|down            starts or stops the roster
 //	worker W [mute|deaf]      starts a worker; mute: it accepts and sends nothing; deaf: it is ready and reads nothing
 //	list W=STATE ...          the roster sends a full list and waits for the acknowledgment; list-again: sends it twice
@@ -391,8 +392,8 @@
 }
 
 func (k *conversation) start() error {
-	if k.attrs["functions.orders"] == "" {
-		k.attrs["functions.orders"] = "no"
+	for name, value := range map[string]string{"functions.orders": "no", "methods.deadline-ms": "2000"} {
+		k.attrs[name] = cmp.Or(k.attrs[name], value)
 	}
 	controlElement := ""
 	if k.attrs["control.keep"] != "" {
@@ -401,7 +402,7 @@
 	}
 	text := fmt.Sprintf(`<front-end name="front"><clients socket=%q%s>%s</clients><workers redial-max-ms="100"/>
 <roster socket=%q cache=%q/>%s<service>
-<method name="query" effect="idempotent" deadline-ms="2000"%s/>
+<method name="query" effect="idempotent"%s/>
 <method name="book" effect="tokened" group="all" window-ms="2000" deadline-ms="1000"/>
 <method name="hold" effect="side-effecting" deadline-ms="1000"/>
 <functions%s/></service></front-end>`, k.path("front"), k.attributes(""), k.allowElement(), k.path("roster"),
