A follower reports a configuration only once its save has ended

A crash then loses what the design says survives one.

Cause: RecordReport (rollout) takes any report with the candidate's number for an acceptance. The follower answers after the save, but HandleConnect and the client's periodic report told f.current, which is the new version from its application on; a new number for the text in force was also reported as saved before it was. Ruled out: lastgood (nothing renamed yet, the file whole), the stop.

Change: Follower.Reported names the previous version while one is being saved; the periodic report, the first message of a stream and the answers use it.

--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -152,7 +152,7 @@
 			event()
 		case <-ticker.C:
 			if c.sendRequest != nil {
-				current, saved := c.follower.Current()
+				current, saved := c.follower.Reported()
 				refused, _ := c.follower.LastRefused()
 				c.report(&wire.FollowRequest{Version: uint64(current.Version), Digest: current.Digest, Kept: saved,
 					Refused: uint64(refused.Version)})
@@ -376,7 +376,7 @@
 // respond sends the answer to the response with the given nonce; extend may add to it.
 func (a *actions) respond(nonce string, extend func(*wire.FollowRequest)) {
 	c := (*Client)(a)
-	current, saved := c.follower.Current()
+	current, saved := c.follower.Reported()
 	r := &wire.FollowRequest{Version: uint64(current.Version), Digest: current.Digest, Kept: saved, Nonce: nonce}
 	if extend != nil {
 		extend(r)
--- a/internal/configupdate/follower.go
+++ b/internal/configupdate/follower.go
@@ -42,7 +42,7 @@
 	RequestFull(nonce string)
 	// Log logs one line for the operators.
 	Log(text string)
-	// SendStatus reports the version in force to the service, unasked, on a new stream or (if connected) on an
+	// SendStatus reports the version that Reported returns to the service, unasked, on a new stream or (if connected) on an
 	// established one.
 	SendStatus(current VersionRef, refused Version, saved, connected bool)
 }
@@ -61,7 +61,9 @@
 type Follower struct {
 	actions   Actions
 	current   VersionRef
-	saved     bool // whether current is on disk
+	saved     bool       // whether current is on disk
+	previous  VersionRef // the version before current, and whether it was on disk
+	wasSaved  bool
 	refused   VersionRef
 	refusal   string // the reason for refusing it
 	connected bool   // whether a stream is established
@@ -84,14 +86,25 @@
 // Current returns the version in force, and whether it is on disk.
 func (f *Follower) Current() (VersionRef, bool) { return f.current, f.saved }
 
+// Reported returns the version to report to the service as the one in force, and whether it is on disk. The service
+// counts a version as accepted once it is reported, and an accepted version must survive a crash. So while a version is
+// being saved, the previous one is reported.
+func (f *Follower) Reported() (VersionRef, bool) {
+	if f.phase == saving {
+		return f.previous, f.wasSaved
+	}
+	return f.current, f.saved
+}
+
 // LastRefused returns the version that was refused last, and the reason.
 func (f *Follower) LastRefused() (VersionRef, string) { return f.refused, f.refusal }
 
-// HandleConnect handles a new stream by sending the version in force. Answers to offers of the previous stream are not
+// HandleConnect handles a new stream by sending the version to report. Answers to offers of the previous stream are not
 // sent any more.
 func (f *Follower) HandleConnect() {
 	f.connected, f.answeredNonce, f.resend = true, "", nil
-	f.actions.SendStatus(f.current, f.refused.Version, f.saved, false)
+	current, saved := f.Reported()
+	f.actions.SendStatus(current, f.refused.Version, saved, false)
 }
 
 // HandleDisconnect handles the end of the stream. Processing of the current offer goes on; the service learns its
@@ -136,9 +149,7 @@
 	case o.VersionRef == f.refused:
 		f.refuse(f.refusal)
 	case o.Digest == f.current.Digest: // the text is in force already: only the number is new
-		f.current.Version = o.Version
-		f.phase = saving
-		f.actions.Save(o.Version)
+		f.save()
 	default:
 		f.phase = checking
 		f.actions.Check(o.Version)
@@ -169,9 +180,15 @@
 		return
 	}
 	f.actions.Log(fmt.Sprintf("version %d is in force, replacing version %d", v, f.current.Version))
+	f.save()
+}
+
+// save makes the offered version, which has taken effect, the current one and has it saved.
+func (f *Follower) save() {
+	f.previous, f.wasSaved = f.current, f.saved
 	f.current, f.saved = f.offer.VersionRef, false
 	f.phase = saving
-	f.actions.Save(v)
+	f.actions.Save(f.offer.Version)
 }
 
 // HandleSaveResult handles the result of Save. A version that cannot be saved is in force and is accepted all the same:
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -416,6 +416,39 @@
 	}
 }
 
+// TestNotAcceptedWhileSaving guards against a version that counts as accepted while its follower is still saving it, by
+// the follower's periodic reports or by the first message of a new stream: a crash in that time would lose it.
+func TestNotAcceptedWhileSaving(t *testing.T) {
+	cluster := newTestCluster(t, 1)
+	c := cluster.client()
+	disk := &hangingDisk{saved: make(chan struct{}), release: make(chan struct{})}
+	_, stop := startFollower(t, cluster, disk)
+	defer stop()
+	v := submit(t, c, 1)
+	<-disk.saved
+	expectRolling := func(when string) {
+		t.Helper()
+		for deadline := time.Now().Add(200 * time.Millisecond); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) { // ten reports
+			if _, st, err := c.Leader(context.Background()); err == nil && (st.Stable == v || st.Candidate != v) {
+				t.Fatalf("version accepted %s, before it was saved: %v", when, st)
+			}
+		}
+	}
+	expectRolling("on the stream that offered it")
+	cluster.stop(0)
+	cluster.start(0)
+	waitFor(t, "the follower reports on a new stream", func() bool {
+		_, st, err := c.Leader(context.Background())
+		return err == nil && len(st.Followers) == 1 && st.Followers[0].Live
+	})
+	expectRolling("on a new stream")
+	close(disk.release)
+	waitFor(t, "the version is accepted", func() bool {
+		_, st, err := c.Leader(context.Background())
+		return err == nil && st.Stable == v
+	})
+}
+
 // The store is restored from an old backup. Followers must keep the version that they run, and the next number must be
 // above it.
 func TestStoreRestoredFromBackup(t *testing.T) {
