--- a/internal/configupdate/follower.go
+++ b/internal/configupdate/follower.go
@@ -62,8 +62,8 @@
 	actions   Actions
 	current   VersionRef
 	saved     bool       // whether current is on disk
-	previous  VersionRef // the version before current, and whether it was on disk
-	wasSaved  bool
+	previous  VersionRef // the version before current
+	wasSaved  bool       // whether previous was on disk while it was current
 	refused   VersionRef
 	refusal   string // the reason for refusing it
 	connected bool   // whether a stream is established
