--- a/internal/simadapter/lists_test.go
+++ b/internal/simadapter/lists_test.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -26,10 +25,10 @@
 	"grades": [{"name": "query", "aimNs": 1000000000, "deadlineNs": 3000000000, "effect": "retryable", "value": 1}],
 	"localities": ["hall"], "models": ["std"]}`
 
-// encodeRecord encodes a record: its code and its fields, which are integers and floats of a fixed size, or bytes.
-func encodeRecord(t *testing.T, code uint8, fields ...any) []byte {
+// encodeFields encodes fields one behind the other: integers and floats of a fixed size, or bytes. The first field of a
+// record is its code.
+func encodeFields(t *testing.T, fields ...any) (out []byte) {
 	t.Helper()
-	out := []byte{code}
 	for _, field := range fields {
 		var err error
 		if out, err = binary.Append(out, binary.LittleEndian, field); err != nil {
@@ -49,27 +48,26 @@
 
 // listRecord is a worker list under a number; all of its workers are ready and have been running for long.
 func listRecord(t *testing.T, number uint8, workers ...uint32) []byte {
-	out := encodeRecord(t, 80, number, uint32(len(workers)))
+	out := encodeFields(t, uint8(80), number, uint32(len(workers)))
 	for _, w := range workers {
-		entry := encodeRecord(t, 0, uint16(0), w, uint16(0), uint8(1), uint8(0), math.Float32bits(1))
-		out = append(append(out, make([]byte, 8)...), entry[1:]...)
+		out = append(out, encodeFields(t, uint64(0), uint16(0), w, uint16(0), uint8(1), uint8(0), float32(1))...)
 	}
 	return out
 }
 
 // updateRecord reports the list under a number to the selected instance.
 func updateRecord(t *testing.T, form uint8, version uint64, number uint8) []byte {
-	return encodeRecord(t, 120, form, version, number)
+	return encodeFields(t, uint8(120), form, version, number)
 }
 
-func selectRecord(t *testing.T, instance uint16) []byte { return encodeRecord(t, 20, instance) }
+func selectRecord(t *testing.T, instance uint16) []byte { return encodeFields(t, uint8(20), instance) }
 
 func startRecord(t *testing.T) []byte {
-	return encodeRecord(t, 110, uint64(5), uint32(len(listSettings)), []byte(listSettings))
+	return encodeFields(t, uint8(110), uint64(5), uint32(len(listSettings)), []byte(listSettings))
 }
 
 func rpcRecord(t *testing.T, id uint32) []byte {
-	return encodeRecord(t, 130, id, uint16(0), uint32(0), uint64(0x7c55d20a01), uint64(3e9), uint64(0), float32(400), float32(4),
+	return encodeFields(t, uint8(130), id, uint16(0), uint32(0), uint64(0x7c55d20a01), uint64(3e9), uint64(0), float32(400), float32(4),
 		float32(600), uint8(0))
 }
 
@@ -148,7 +146,7 @@
 func TestInstanceWithoutWorkers(t *testing.T) {
 	in := encodeFrame(10e9, selectRecord(t, 3), startRecord(t), listRecord(t, 0), updateRecord(t, formCached, 1, 0), rpcRecord(t, 1))
 	for clock := uint64(10e9); clock < 16e9; clock += 50e6 { // beyond the client's time, with the timer of the housekeeping
-		in = append(in, encodeFrame(clock, selectRecord(t, 3), encodeRecord(t, 10, uint64(0)))...)
+		in = append(in, encodeFrame(clock, selectRecord(t, 3), encodeFields(t, uint8(10), uint64(0)))...)
 	}
 	var out bytes.Buffer
 	if err := Serve(bytes.NewReader(in), &out); err != nil {
