Test of acceptance while saving: the new stream's first message is tested alone

The service takes the newest of the reports that come within its beat (60 ms there), and the test's follower reports each 20 ms, so that the first message never counted.

Change: two cases. One has periodic reports and no new stream; the other a new stream, seen to be lost and made anew, and no periodic reports. Both also fail if the service never tells its state, which the loop had passed over. Nothing asserted before is dropped.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -352,10 +352,17 @@
 	}
 }
 
+// testReportInterval is the time between the reports of a follower that startFollower runs.
+const testReportInterval = 20 * time.Millisecond
+
 // startFollower runs a real follower that accepts every valid version without applying anything.
 func startFollower(t *testing.T, cluster *testCluster, fs lastgood.FS) (follower *configclient.Client, stop func()) {
+	return startReportingFollower(t, cluster, fs, testReportInterval)
+}
+
+func startReportingFollower(t *testing.T, cluster *testCluster, fs lastgood.FS, reportInterval time.Duration) (follower *configclient.Client, stop func()) {
 	options := configclient.Options{Name: "f", Sockets: cluster.sockets(), Store: lastgood.Store{FS: fs, Path: cluster.path("kept")},
-		RedialMin: 5 * time.Millisecond, RedialMax: 20 * time.Millisecond, ReportInterval: 20 * time.Millisecond, Log: zerolog.Nop(),
+		RedialMin: 5 * time.Millisecond, RedialMax: 20 * time.Millisecond, ReportInterval: reportInterval, Log: zerolog.Nop(),
 		Check: func(v uint64, text string) (configclient.Change, error) {
 			_, err := settings.ReadConfiguration(fmt.Sprintf("version %d", v), strings.NewReader(text))
 			return noopChange{}, err
@@ -419,34 +426,48 @@
 // TestNotAcceptedWhileSaving guards against a version that counts as accepted while its follower is still saving it, by
 // the follower's periodic reports or by the first message of a new stream: a crash in that time would lose it.
 func TestNotAcceptedWhileSaving(t *testing.T) {
-	cluster := newTestCluster(t, 1)
-	c := cluster.client()
-	disk := &hangingDisk{saved: make(chan struct{}), release: make(chan struct{})}
-	_, stop := startFollower(t, cluster, disk)
-	defer stop()
-	v := submit(t, c, 1)
-	<-disk.saved
-	expectRolling := func(when string) {
-		t.Helper()
-		for deadline := time.Now().Add(200 * time.Millisecond); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) { // ten reports
-			if _, st, err := c.Leader(context.Background()); err == nil && (st.Stable == v || st.Candidate != v) {
-				t.Fatalf("version accepted %s, before it was saved: %v", when, st)
+	for _, test := range []struct {
+		name           string
+		reportInterval time.Duration
+		newStream      bool
+	}{
+		{"periodic reports", testReportInterval, false},
+		{"first message of a new stream", time.Hour, true}, // no periodic report, which would replace the first message
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cluster := newTestCluster(t, 1)
+			c := cluster.client()
+			disk := &hangingDisk{saved: make(chan struct{}), release: make(chan struct{})}
+			follower, stop := startReportingFollower(t, cluster, disk, test.reportInterval)
+			defer stop()
+			v := submit(t, c, 1)
+			<-disk.saved
+			if test.newStream {
+				cluster.stop(0)
+				waitFor(t, "the follower has lost its stream", func() bool { return !follower.Status().Connected })
+				cluster.start(0)
+				waitFor(t, "the follower has a new stream", func() bool { return follower.Status().Connected })
 			}
-		}
+			answers := 0
+			for until := time.Now().Add(10 * testReportInterval); time.Now().Before(until); time.Sleep(testReportInterval / 4) {
+				_, st, err := c.Leader(context.Background())
+				if err == nil && (st.Stable == v || st.Candidate != v) {
+					t.Fatalf("version accepted before it was saved: %v", st)
+				}
+				if err == nil {
+					answers++
+				}
+			}
+			if answers == 0 {
+				t.Error("the service never told the state of the version")
+			}
+			close(disk.release)
+			waitFor(t, "the version is accepted", func() bool {
+				_, st, err := c.Leader(context.Background())
+				return err == nil && st.Stable == v
+			})
+		})
 	}
-	expectRolling("on the stream that offered it")
-	cluster.stop(0)
-	cluster.start(0)
-	waitFor(t, "the follower reports on a new stream", func() bool {
-		_, st, err := c.Leader(context.Background())
-		return err == nil && len(st.Followers) == 1 && st.Followers[0].Live
-	})
-	expectRolling("on a new stream")
-	close(disk.release)
-	waitFor(t, "the version is accepted", func() bool {
-		_, st, err := c.Leader(context.Background())
-		return err == nil && st.Stable == v
-	})
 }
 
 // The store is restored from an old backup. Followers must keep the version that they run, and the next number must be
