--- a/internal/configupdate/follower.go
+++ b/internal/configupdate/follower.go
@@ -59,14 +59,14 @@
 
 // Follower is the state of one follower.
 type Follower struct {
-	actions   Actions
-	current   VersionRef
-	saved     bool       // whether current is on disk
-	previous  VersionRef // the version before current
-	wasSaved  bool       // whether previous was on disk while it was current
-	refused   VersionRef
-	refusal   string // the reason for refusing it
-	connected bool   // whether a stream is established
+	actions       Actions
+	current       VersionRef
+	saved         bool       // whether current is on disk
+	previous      VersionRef // the version before current, reported while current is being saved
+	previousSaved bool       // whether previous was on disk
+	refused       VersionRef
+	refusal       string // the reason for refusing it
+	connected     bool   // whether a stream is established
 
 	offer      Offer // being processed, unless phase is idle
 	phase      phase
@@ -91,7 +91,7 @@
 // being saved, the previous one is reported.
 func (f *Follower) Reported() (VersionRef, bool) {
 	if f.phase == saving {
-		return f.previous, f.wasSaved
+		return f.previous, f.previousSaved
 	}
 	return f.current, f.saved
 }
@@ -185,7 +185,7 @@
 
 // save makes the offered version, which has taken effect, the current one and has it saved.
 func (f *Follower) save() {
-	f.previous, f.wasSaved = f.current, f.saved
+	f.previous, f.previousSaved = f.current, f.saved
 	f.current, f.saved = f.offer.VersionRef, false
 	f.phase = saving
 	f.actions.Save(f.offer.Version)
--- a/internal/simadapter/lists_test.go
+++ b/internal/simadapter/lists_test.go
@@ -38,12 +38,9 @@
 	return out
 }
 
-func encodeFrame(clock uint64, records ...[]byte) []byte {
+func encodeFrame(t *testing.T, clock uint64, records ...[]byte) []byte {
 	body := bytes.Join(records, nil)
-	out := binary.LittleEndian.AppendUint32(nil, uint32(len(body)))
-	out = binary.LittleEndian.AppendUint32(out, uint32(len(records)))
-	out = binary.LittleEndian.AppendUint64(out, clock)
-	return append(out, body...)
+	return encodeFields(t, uint32(len(body)), uint32(len(records)), clock, body)
 }
 
 // listRecord is a worker list under a number; all of its workers are ready and have been running for long.
@@ -127,9 +124,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := [][]byte{selectRecord(t, 3), startRecord(t), listRecord(t, 0, first), updateRecord(t, formCached, 1, 0)}
-			in := encodeFrame(10e9, start...)
-			in = append(in, encodeFrame(11e9, append([][]byte{selectRecord(t, 3)}, c.records...)...)...)
-			in = append(in, encodeFrame(12e9, selectRecord(t, 3), rpcRecord(t, 1))...)
+			in := encodeFrame(t, 10e9, start...)
+			in = append(in, encodeFrame(t, 11e9, append([][]byte{selectRecord(t, 3)}, c.records...)...)...)
+			in = append(in, encodeFrame(t, 12e9, selectRecord(t, 3), rpcRecord(t, 1))...)
 			var out bytes.Buffer
 			if err := Serve(bytes.NewReader(in), &out); err != nil {
 				t.Fatal(err)
@@ -144,9 +141,9 @@
 // TestInstanceWithoutWorkers guards against the exit of the adapter, and against an RPC left without its answer, when
 // an instance starts with a cached list without workers.
 func TestInstanceWithoutWorkers(t *testing.T) {
-	in := encodeFrame(10e9, selectRecord(t, 3), startRecord(t), listRecord(t, 0), updateRecord(t, formCached, 1, 0), rpcRecord(t, 1))
+	in := encodeFrame(t, 10e9, selectRecord(t, 3), startRecord(t), listRecord(t, 0), updateRecord(t, formCached, 1, 0), rpcRecord(t, 1))
 	for clock := uint64(10e9); clock < 16e9; clock += 50e6 { // beyond the client's time, with the timer of the housekeeping
-		in = append(in, encodeFrame(clock, selectRecord(t, 3), encodeFields(t, uint8(10), uint64(0)))...)
+		in = append(in, encodeFrame(t, clock, selectRecord(t, 3), encodeFields(t, uint8(10), uint64(0)))...)
 	}
 	var out bytes.Buffer
 	if err := Serve(bytes.NewReader(in), &out); err != nil {
@@ -161,12 +158,12 @@
 func TestListNeverSent(t *testing.T) {
 	for number, want := range map[uint8]string{2: "worker list number 2 was never sent", 16: "worker list number 16 was never sent",
 		255: "worker list number 255 was never sent"} {
-		in := encodeFrame(10e9, selectRecord(t, 3), startRecord(t), listRecord(t, 0), listRecord(t, 1, 7), updateRecord(t, formChanges, 1, number))
+		in := encodeFrame(t, 10e9, selectRecord(t, 3), startRecord(t), listRecord(t, 0), listRecord(t, 1, 7), updateRecord(t, formChanges, 1, number))
 		if err := Serve(bytes.NewReader(in), io.Discard); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("error %v, want %q", err, want)
 		}
 	}
-	in := encodeFrame(10e9, listRecord(t, 16, 7))
+	in := encodeFrame(t, 10e9, listRecord(t, 16, 7))
 	if err := Serve(bytes.NewReader(in), io.Discard); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("worker list number 16: %v", errUnknown)) {
 		t.Errorf("a list with a number that is too high: error %v", err)
 	}
