--- /dev/null
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Sizes of the overload tests.
+const (
+	overloadWorkers       = 6
+	overloadUsualClients  = 4
+	overloadUsualInterval = time.Second / 16
+	overloadBudget        = 680 * time.Millisecond // how long usual clients wait
+	overloadLostAfter     = 500 * time.Millisecond // an RPC without an answer this long after its time is lost
+	startAfterGone        = 100 * time.Millisecond // nothing may begin this long after its client has left
+	overloadWorkTime      = 25 * time.Millisecond
+	overloadWarmUp        = time.Second
+	memoryWatchInterval   = 5 * time.Millisecond
+)
+
+// overloadFleet is one front end as a process, with stand-ins for the workers and the journal service, and usual
+// clients.
+type overloadFleet struct {
+	t         *testing.T
+	discovery *discovery
+	servers   []*http.Server
+	address   string
+	process   *exec.Cmd
+	log       *bytes.Buffer
+	stopAll   chan struct{}
+	running   sync.WaitGroup
+	lastID    atomic.Uint64
+
+	mu         sync.Mutex
+	executions map[uint64][]time.Time // start of each execution at a worker, by the RPC's id
+	rpcs       []*usualRPC
+	goneAt     map[uint64]time.Time // when a client took back an RPC, or closed its connection, by the RPC's id
+	peakMB     float64
+}
+
+// usualRPC is one RPC of a usual client.
+type usualRPC struct {
+	sentAt   time.Time
+	answered bool
+	took     time.Duration // until the answer
+	kind     overloadAnswer
+}
+
+func newOverloadFleet(t *testing.T, memoryMB, sockets int) *overloadFleet {
+	t.Helper()
+	f := &overloadFleet{t: t, discovery: newDiscovery(t), stopAll: make(chan struct{}), executions: map[uint64][]time.Time{}, goneAt: map[uint64]time.Time{}}
+	f.lastID.Store(uint64(time.Now().UnixNano()))
+	f.discovery.publish(f.startWorkers(), true)
+	f.address = unusedAddress(t)
+	text, err := os.ReadFile("../../internal/platform/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := strings.NewReplacer("$LISTEN", f.address, "$JOURNAL", f.discovery.address, `"$KNOWN"`, string(f.discovery.initialEvents()),
+		`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, memoryMB), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets),
+		`"mayLoad":false`, `"mayLoad":true`, `"balancers":1`, `"balancers":1,"tickNs":2000000`).Replace(string(text))
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.process, f.log = startPlatform(t, path)
+	connect(t, f.address).Close()
+	f.running.Go(f.watchMemory)
+	t.Cleanup(f.end)
+	return f
+}
+
+func (f *overloadFleet) end() {
+	close(f.stopAll)
+	f.running.Wait()
+	for _, server := range f.servers {
+		server.Close()
+	}
+	if f.t.Failed() {
+		f.t.Logf("log of the front end:\n%s", tail(f.log.String(), 4000))
+	}
+}
+
+func tail(text string, length int) string { return text[max(0, len(text)-length):] }
+
+// startWorkers starts the workers and returns their entries in the worker list.
+func (f *overloadFleet) startWorkers() (instances []any) {
+	for i := range overloadWorkers {
+		listener, err := net.Listen("tcp", loopbackAddress())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(f.serveWorker)}
+		f.servers = append(f.servers, server)
+		go func() { _ = server.Serve(listener) }()
+		instances = append(instances, map[string]any{"instanceId": fmt.Sprintf("w%d", i), "hostPort": listener.Addr().String(), "zone": "a",
+			"machineType": "std", "cell": 1, "lifecycle": "active", "weight": 1, "startedAtMs": 0})
+	}
+	return instances
+}
+
+func (f *overloadFleet) serveWorker(out http.ResponseWriter, in *http.Request) {
+	out.Header().Set("X-Meter", "busy:0.2;x0:0.1")
+	switch {
+	case in.Method == http.MethodPut:
+		out.Header().Set("X-Slots-Up", "1")
+		return
+	case in.Header.Get("X-Ticket") == "":
+		return
+	}
+	id, _ := strconv.ParseUint(in.Header.Get("X-Ticket"), 16, 64)
+	f.mu.Lock()
+	f.executions[id] = append(f.executions[id], time.Now())
+	f.mu.Unlock()
+	time.Sleep(overloadWorkTime)
+	out.Header().Set("X-Remark", "warm")
+	_, _ = out.Write([]byte("done"))
+}
+
+// newID returns an id that no RPC or function has had before.
+func (f *overloadFleet) newID() uint64 { return f.lastID.Add(1) }
+
+// watchMemory records the most memory that the front end's process has used.
+func (f *overloadFleet) watchMemory() {
+	for f.sleep(memoryWatchInterval) {
+		now := anonymousMB(f.process.Process.Pid)
+		f.mu.Lock()
+		f.peakMB = max(f.peakMB, now)
+		f.mu.Unlock()
+	}
+}
+
+// anonymousMB returns the anonymous memory of a process in MiB, which is what the platform limits.
+func anonymousMB(pid int) float64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, rest, _ := strings.Cut(string(text), "RssAnon:")
+	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	n, _ := strconv.ParseFloat(kb, 64)
+	return n / 1024
+}
+
+// sleep returns false if the fleet stopped meanwhile.
+func (f *overloadFleet) sleep(d time.Duration) bool {
+	select {
+	case <-f.stopAll:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// startUsualClients starts clients that each send an RPC at a fixed interval, on one connection while it lasts.
+func (f *overloadFleet) startUsualClients() {
+	for i := range overloadUsualClients {
+		f.running.Go(func() {
+			f.sleep(overloadUsualInterval * time.Duration(i) / overloadUsualClients)
+			for f.runUsualClient(i) {
+			}
+		})
+	}
+}
+
+// runUsualClient sends RPCs on one connection. It returns false once the fleet has stopped.
+func (f *overloadFleet) runUsualClient(number int) bool {
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		return f.sleep(overloadUsualInterval)
+	}
+	defer nc.Close()
+	rpcs, broken := map[int32]*usualRPC{}, make(chan struct{}) // rpcs: guarded by f.mu
+	go func() {
+		defer close(broken)
+		for reader := bufio.NewReader(nc); ; {
+			seq, kind, err := readAnswer(reader)
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			rpc := rpcs[seq]
+			rpc.answered, rpc.took, rpc.kind = true, time.Since(rpc.sentAt), kind
+			f.mu.Unlock()
+		}
+	}()
+	running := true
+	for seq := int32(1); running; seq++ {
+		method := []string{"query", "query", "book"}[int(seq)%3]
+		rpc := &usualRPC{sentAt: time.Now()}
+		f.mu.Lock()
+		rpcs[seq], f.rpcs = rpc, append(f.rpcs, rpc)
+		f.mu.Unlock()
+		_ = nc.SetWriteDeadline(time.Now().Add(overloadBudget + overloadLostAfter))
+		if _, err := nc.Write(appendExecute(nil, executeRequest{seq: seq, method: method, rpcID: f.newID(), function: uint64(number + 1),
+			budgetMS: int(overloadBudget / time.Millisecond), customer: "acme", bodyLength: 200})); err != nil {
+			break
+		}
+		select {
+		case <-broken:
+			running = false
+		case <-f.stopAll:
+			running = false
+		case <-time.After(overloadUsualInterval):
+		}
+	}
+	nc.Close()
+	<-broken
+	select {
+	case <-f.stopAll:
+		return false
+	default:
+		return true
+	}
+}
+
+// markGone records that the clients of RPCs have left, or have taken them back.
+func (f *overloadFleet) markGone(ids []uint64) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.goneAt[id] = now
+	}
+}
+
+// lateStarts returns how many executions began too long after their client had left, and the longest such time.
+func (f *overloadFleet) lateStarts() (n int, longest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, starts := range f.executions {
+		goneAt, gone := f.goneAt[id]
+		for _, began := range starts {
+			if late := began.Sub(goneAt); gone && late > startAfterGone {
+				n, longest = n+1, max(longest, late)
+			}
+		}
+	}
+	return n, longest
+}
+
+// overloadSummary counts the usual RPCs that were sent in a period.
+type overloadSummary struct {
+	sent, servedInTime, lost int
+	p99                      time.Duration
+	peakMB                   float64
+	startedLate              int // RPCs that began too long after their client had left
+	latestStart              time.Duration
+}
+
+func (s overloadSummary) String() string {
+	return fmt.Sprintf("%d RPCs, %d served in time, %d lost, p99 %v, peak %.1f MB", s.sent, s.servedInTime, s.lost,
+		s.p99.Round(time.Millisecond), s.peakMB)
+}
+
+func (s overloadSummary) shareInTime() float64 {
+	return float64(s.servedInTime) / float64(max(s.sent, 1))
+}
+
+// summarize counts the usual RPCs that were sent between two times.
+func (f *overloadFleet) summarize(from, until time.Time) overloadSummary {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := overloadSummary{peakMB: f.peakMB}
+	var times []time.Duration
+	for _, rpc := range f.rpcs {
+		if rpc.sentAt.Before(from) || rpc.sentAt.After(until) {
+			continue
+		}
+		s.sent++
+		if !rpc.answered || rpc.took > overloadBudget+overloadLostAfter {
+			s.lost++
+			rpc.took = time.Since(rpc.sentAt)
+		} else if rpc.kind == answeredOK && rpc.took <= overloadBudget {
+			s.servedInTime++
+		}
+		times = append(times, rpc.took)
+	}
+	if slices.Sort(times); len(times) > 0 {
+		s.p99 = times[len(times)*99/100]
+	}
+	return s
+}
--- /dev/null
+++ b/cmd/mallowlanding/overload_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// Targets of the overload tests.
+const (
+	minServedInTime = 0.95 // share of the usual RPCs
+	maxMemoryShare  = 0.8  // of the memory limit
+)
+
+// Limits of the front end and length of a flood in the overload tests.
+const (
+	overloadMemoryMB = 64
+	overloadSockets  = 384
+	floodLength      = 2500 * time.Millisecond
+)
+
+// TestFloodingClientDoesNotStarveOthers guards against one client's flood that delays the RPCs of others or grows memory.
+func TestFloodingClientDoesNotStarveOthers(t *testing.T) {
+	for _, kind := range floods() {
+		t.Run(kind.name, func(t *testing.T) {
+			s := runFlood(t, kind, overloadMemoryMB, overloadSockets, floodLength)
+			t.Logf("%v", s)
+			if s.shareInTime() < minServedInTime || s.lost > 0 {
+				t.Errorf("%d of %d usual RPCs were served in time, %d lost; want %.2f and none", s.servedInTime, s.sent, s.lost, minServedInTime)
+			}
+			if s.startedLate > 0 {
+				t.Errorf("%d RPCs began over %v after their client had left, up to %v", s.startedLate, startAfterGone, s.latestStart)
+			}
+			if s.peakMB > maxMemoryShare*overloadMemoryMB {
+				t.Errorf("memory rose to %.1f MB, want at most %.1f MB", s.peakMB, maxMemoryShare*overloadMemoryMB)
+			}
+		})
+	}
+}
+
+// runFlood runs usual clients beside a flood and summarizes their RPCs sent during the flood.
+func runFlood(t *testing.T, kind flood, memoryMB, sockets int, length time.Duration) overloadSummary {
+	t.Helper()
+	f := newOverloadFleet(t, memoryMB, sockets)
+	f.startUsualClients()
+	time.Sleep(overloadWarmUp)
+	from := time.Now()
+	stop := f.startFlood(kind)
+	time.Sleep(length)
+	until := time.Now()
+	stop()
+	time.Sleep(overloadBudget + overloadLostAfter + overloadUsualInterval)
+	s := f.summarize(from, until)
+	s.startedLate, s.latestStart = f.lateStarts()
+	return s
+}
+
+// TestIDOfDepartedClientIsNotRunTwice guards against a second execution of an RPC whose client left while it ran and
+// whose id came again.
+func TestIDOfDepartedClientIsNotRunTwice(t *testing.T) {
+	f := newOverloadFleet(t, overloadMemoryMB, overloadSockets)
+	for range 20 {
+		request := executeRequest{seq: 1, method: "once", rpcID: f.newID(), function: 1, budgetMS: 680, customer: "acme"}
+		first := connect(t, f.address)
+		if _, err := first.Write(appendExecute(nil, request)); err != nil {
+			t.Fatal(err)
+		}
+		f.awaitExecutions(request.rpcID, 1)
+		first.Close()
+		time.Sleep(5 * time.Millisecond) // the end of the connection is noticed
+		second := connect(t, f.address)
+		if _, err := second.Write(appendExecute(nil, request)); err != nil {
+			t.Fatal(err)
+		}
+		_ = second.SetReadDeadline(time.Now().Add(testTimeout))
+		if _, kind, err := readAnswer(second); err != nil || kind != answeredAborted {
+			t.Errorf("the RPC with the id of one that may have run got answer %d, error %v; want aborted", kind, err)
+		}
+		second.Close()
+		if n := len(f.executionsOf(request.rpcID)); n != 1 {
+			t.Fatalf("an RPC was executed %d times", n)
+		}
+	}
+}
+
+// TestUnreadRPCsOfClosedConnectionAreNotSent guards against RPCs that begin after their client has closed its connection.
+func TestUnreadRPCsOfClosedConnectionAreNotSent(t *testing.T) {
+	const clients = 12
+	f := newOverloadFleet(t, overloadMemoryMB, overloadSockets)
+	for range clients {
+		nc, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b []byte
+		var ids []uint64
+		for seq := range int32(2 * floodBurst) { // far more checks than a turn handles, with an RPC between
+			if seq%20 == 0 && len(ids) < openRPCsOfProtocol {
+				ids = append(ids, f.newID())
+				b = appendExecute(b, executeRequest{seq: seq + 1, method: "query", rpcID: ids[len(ids)-1], function: 1, budgetMS: 680, customer: "acme"})
+			} else {
+				b = appendCheck(b, "check", seq+1, maxSkippedFields)
+			}
+		}
+		go func() { _, _ = nc.Write(b) }()
+		time.Sleep(20 * time.Millisecond)
+		nc.Close()
+		f.markGone(ids)
+	}
+	time.Sleep(time.Second)
+	if n, longest := f.lateStarts(); n > 0 {
+		t.Errorf("%d RPCs began over %v after their client had left, up to %v", n, startAfterGone, longest)
+	}
+}
+
+func (f *overloadFleet) executionsOf(id uint64) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executions[id]
+}
+
+// awaitExecutions waits until an RPC has begun at a worker so many times.
+func (f *overloadFleet) awaitExecutions(id uint64, n int) {
+	f.t.Helper()
+	for end := time.Now().Add(testTimeout); len(f.executionsOf(id)) < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("an RPC was executed %d times, want %d", len(f.executionsOf(id)), n)
+		}
+	}
+}
