Event loop reports its load; the front end logs when it becomes overloaded

Loop.TakeLoad gives the most events in one turn, the longest delay from posting to handling, and the longest turn. The front end looks once a second and logs one line when an event waited for over 100 ms, and one when that is over.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -118,6 +118,32 @@
 	stopped     bool
 	wake        chan struct{}
 	minInterval atomic.Int64 // ns
+	queuedSince time.Time    // when the first event of the queue was posted; guarded by mu
+
+	load Load // since the last call of TakeLoad; belongs to the goroutine of Run
+}
+
+// Load is the largest backlog of a loop in a period.
+type Load struct {
+	Events int           // in one turn
+	Delay  time.Duration // from the posting of an event to the turn that handles it
+	Turn   time.Duration // duration of a turn
+}
+
+// TakeLoad returns the load since the last call and begins a new period. It must be called in a turn.
+func (l *Loop) TakeLoad() Load {
+	load := l.load
+	l.load = Load{}
+	return load
+}
+
+// addTurn records a turn that began at start and handled events, of which the first was posted at queuedSince.
+func (l *Loop) addTurn(start, queuedSince time.Time, events int) {
+	l.load.Events = max(l.load.Events, events)
+	l.load.Turn = max(l.load.Turn, time.Since(start))
+	if events > 0 {
+		l.load.Delay = max(l.load.Delay, start.Sub(queuedSince))
+	}
 }
 
 // NewLoop makes a loop and starts its clock.
@@ -140,6 +166,9 @@
 	}
 	l.queue = append(l.queue, f)
 	wasEmpty := len(l.queue) == 1
+	if wasEmpty {
+		l.queuedSince = time.Now()
+	}
 	l.mu.Unlock()
 	if wasEmpty {
 		select {
@@ -162,7 +191,7 @@
 		}
 		lastTurn = time.Now()
 		l.mu.Lock()
-		events := l.queue
+		events, queuedSince := l.queue, l.queuedSince
 		l.queue = reusable[:0]
 		stopping := ctx.Err() != nil
 		l.stopped = stopping
@@ -173,6 +202,7 @@
 			events[i] = nil
 		}
 		h.EndTurn()
+		l.addTurn(lastTurn, queuedSince, len(events))
 		reusable = events
 		if stopping {
 			return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -55,6 +55,7 @@
 	epoch        router.Time // the Unix epoch by the event loop's clock
 	lameDuckTime time.Duration
 	dialer       httplink.Dialer // nil: the default of httplink
+	overload     overloadMonitor
 
 	hasList, leaving atomic.Bool // a worker list has been received; SIGTERM has been received
 
@@ -96,6 +97,7 @@
 	h.frontEnd.dispatcher.Admit()
 	h.Engine.EndTurn()
 	h.frontEnd.server.FlushTurn()
+	h.frontEnd.overload.look(time.Now(), h.frontEnd.loop.TakeLoad)
 }
 
 // New reads the configuration and creates a front end, which does not listen yet.
@@ -106,6 +108,7 @@
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: eventloop.NewLoop(),
 		lameDuckTime: lameDuckTime, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
+	f.overload.log = f.log
 	f.loop.SetMinInterval(c.minTurnInterval())
 	f.epoch = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.engine = engine.New(engine.Options{Settings: c.RouterSettings, Seed: c.Seed, Now: f.loop.Now(), AnswerMargin: eventloop.FromDuration(answerMargin),
