--- a/cmd/mallowlanding/overload_fleet_test.go
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -25,6 +25,7 @@
 	overloadUsualInterval = time.Second / 16
 	overloadBudget        = 680 * time.Millisecond // how long usual clients wait
 	overloadLostAfter     = 500 * time.Millisecond // an RPC without an answer this long after its time is lost
+	crossingTime          = 50 * time.Millisecond  // an RPC sent this long before its connection is closed is sent again
 	startAfterGone        = 100 * time.Millisecond // nothing may begin this long after its client has left
 	overloadWorkTime      = 25 * time.Millisecond
 	overloadWarmUp        = time.Second
@@ -53,6 +54,8 @@
 
 // usualRPC is one RPC of a usual client.
 type usualRPC struct {
+	request  executeRequest
+	resent   bool // it crossed the close of its connection, and was sent again
 	sentAt   time.Time
 	answered bool
 	took     time.Duration // until the answer
@@ -166,46 +169,49 @@
 func (f *overloadFleet) startUsualClients() {
 	for i := range overloadUsualClients {
 		f.running.Go(func() {
+			client := &usualClient{fleet: f, number: i}
 			f.sleep(overloadUsualInterval * time.Duration(i) / overloadUsualClients)
-			for f.runUsualClient(i) {
+			for client.run() {
 			}
 		})
 	}
 }
 
-// runUsualClient sends RPCs on one connection. It returns false once the fleet has stopped.
-func (f *overloadFleet) runUsualClient(number int) bool {
+// usualClient sends RPCs at a fixed interval. RPCs that cross the close of their connection are sent again, once.
+type usualClient struct {
+	fleet   *overloadFleet
+	number  int
+	seq     int32               // of the last RPC on the connection
+	open    map[int32]*usualRPC // on the connection; guarded by overloadFleet.mu
+	crossed []*usualRPC         // that are to be sent again
+}
+
+// run sends RPCs on one connection, while it lasts. It returns false once the fleet has stopped.
+func (c *usualClient) run() bool {
+	f := c.fleet
 	nc, err := net.Dial("tcp", f.address)
 	if err != nil {
-		return f.sleep(overloadUsualInterval)
+		return f.sleep(overloadUsualInterval / 8)
 	}
-	defer nc.Close()
-	rpcs, broken := map[int32]*usualRPC{}, make(chan struct{}) // rpcs: guarded by f.mu
+	c.seq, c.open = 0, map[int32]*usualRPC{}
+	broken := make(chan struct{})
 	go func() {
 		defer close(broken)
-		for reader := bufio.NewReader(nc); ; {
-			seq, kind, err := readAnswer(reader)
-			if err != nil {
-				return
-			}
-			f.mu.Lock()
-			rpc := rpcs[seq]
-			rpc.answered, rpc.took, rpc.kind = true, time.Since(rpc.sentAt), kind
-			f.mu.Unlock()
-		}
+		c.readAnswers(nc)
 	}()
-	running := true
-	for seq := int32(1); running; seq++ {
-		method := []string{"query", "query", "book"}[int(seq)%3]
-		rpc := &usualRPC{sentAt: time.Now()}
+	crossed := c.crossed
+	c.crossed = nil
+	for _, rpc := range crossed {
+		rpc.resent = true
+		c.send(nc, rpc)
+	}
+	for running := true; running; {
+		rpc := &usualRPC{sentAt: time.Now(), request: executeRequest{method: []string{"query", "query", "book"}[int(c.seq)%3], rpcID: f.newID(),
+			function: uint64(c.number + 1), budgetMS: int(overloadBudget / time.Millisecond), customer: "acme", bodyLength: 200}}
 		f.mu.Lock()
-		rpcs[seq], f.rpcs = rpc, append(f.rpcs, rpc)
+		f.rpcs = append(f.rpcs, rpc)
 		f.mu.Unlock()
-		_ = nc.SetWriteDeadline(time.Now().Add(overloadBudget + overloadLostAfter))
-		if _, err := nc.Write(appendExecute(nil, executeRequest{seq: seq, method: method, rpcID: f.newID(), function: uint64(number + 1),
-			budgetMS: int(overloadBudget / time.Millisecond), customer: "acme", bodyLength: 200})); err != nil {
-			break
-		}
+		c.send(nc, rpc)
 		select {
 		case <-broken:
 			running = false
@@ -216,6 +222,7 @@
 	}
 	nc.Close()
 	<-broken
+	c.collectCrossed(time.Now())
 	select {
 	case <-f.stopAll:
 		return false
@@ -224,6 +231,40 @@
 	}
 }
 
+func (c *usualClient) send(nc net.Conn, rpc *usualRPC) {
+	c.seq++
+	rpc.request.seq = c.seq
+	c.fleet.mu.Lock()
+	c.open[c.seq] = rpc
+	c.fleet.mu.Unlock()
+	_ = nc.SetWriteDeadline(time.Now().Add(overloadBudget + overloadLostAfter))
+	_, _ = nc.Write(appendExecute(nil, rpc.request))
+}
+
+func (c *usualClient) readAnswers(nc net.Conn) {
+	for reader := bufio.NewReader(nc); ; {
+		seq, kind, err := readAnswer(reader)
+		if err != nil {
+			return
+		}
+		c.fleet.mu.Lock()
+		rpc := c.open[seq]
+		rpc.answered, rpc.took, rpc.kind = true, time.Since(rpc.sentAt), kind
+		c.fleet.mu.Unlock()
+	}
+}
+
+// collectCrossed notes the RPCs without an answer that were sent shortly before the connection was closed.
+func (c *usualClient) collectCrossed(closedAt time.Time) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, rpc := range c.open {
+		if !rpc.answered && !rpc.resent && closedAt.Sub(rpc.sentAt) < crossingTime {
+			c.crossed = append(c.crossed, rpc)
+		}
+	}
+}
+
 // markGone records that the clients of RPCs have left, or have taken them back.
 func (f *overloadFleet) markGone(ids []uint64) {
 	now := time.Now()
--- a/cmd/mallowlanding/overload_floods_test.go
+++ b/cmd/mallowlanding/overload_floods_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"net"
 	"time"
 )
@@ -154,11 +155,13 @@
 }
 
 func burst(f *overloadFleet, nc net.Conn) {
-	var b []byte
+	body := make([]byte, floodBody+1) // with the end of the message
+	var all net.Buffers
 	for seq := range int32(floodBurst) {
-		b = append(b, largeRPC(f, seq+1)...)
+		message := largeRPC(f, seq+1)
+		all = append(all, bytes.Clone(message[:len(message)-len(body)]), body)
 	}
-	if _, err := nc.Write(b); err == nil {
+	if _, err := all.WriteTo(nc); err == nil {
 		f.sleep(300 * time.Millisecond)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -266,6 +266,11 @@
 	return r
 }
 
+// WasSent reports whether the request has had a call-out, so that it may have reached a worker.
+func (r *Request) WasSent() bool {
+	return r.execution != nil && r.execution.rpc != nil && r.execution.rpc.CallOuts() > 0
+}
+
 // Finished reports whether the request is no longer open.
 func (r *Request) Finished() bool { return !r.conn.open[r] }
 
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -171,14 +171,19 @@
 	}
 	l.mu.Unlock()
 	if wasEmpty {
-		select {
-		case l.wake <- struct{}{}:
-		default:
-		}
+		l.Wake()
 	}
 	return true
 }
 
+// Wake has a turn begin soon. Any goroutine may call it.
+func (l *Loop) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run runs h until the context is done. Events posted before then are still handled.
 func (l *Loop) Run(ctx context.Context, h Handler) {
 	timer := time.NewTimer(time.Hour)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -225,7 +225,12 @@
 
 // thriftLimits returns the limits of the clients' side.
 func (c *Config) thriftLimits() thrift.Limits {
-	return thrift.Limits{MaxConnections: c.maxConnections(), MaxMemoryMB: c.maxMemoryMB()}
+	limits := thrift.Limits{MaxConnections: c.maxConnections(), MaxMemoryMB: c.maxMemoryMB(),
+		RequestBytes: c.memoryBytes(requestShare), AnswerBytes: c.memoryBytes(answerShare), IDRetention: 2 * c.longestDeadline()}
+	if advise, _ := c.RouterSettings[settingkeys.Join(settingkeys.May, settingkeys.Advise)].(bool); advise {
+		limits.RetryAfter = router.Time(c.number(settingkeys.Join(settingkeys.May, settingkeys.ComeBack)))
+	}
+	return limits
 }
 
 // minTurnInterval returns the least time between the starts of two turns of the event loop: the tick of the settings, as
@@ -235,7 +240,10 @@
 }
 
 // heapLimit returns the soft memory limit for Go's garbage collector, in bytes.
-func (c *Config) heapLimit() int64 { return int64(c.MemoryMB * heapShare * (1 << 20)) }
+func (c *Config) heapLimit() int64 { return c.memoryBytes(heapShare) }
+
+// memoryBytes returns a share of the memory limit in bytes.
+func (c *Config) memoryBytes(share float64) int64 { return int64(c.MemoryMB * share * (1 << 20)) }
 
 // longestDeadline returns the longest deadline of the methods that have not been removed. It determines when the
 // platform kills a front end that is leaving.
--- a/internal/platform/overload.go
+++ b/internal/platform/overload.go
@@ -17,6 +17,7 @@
 // goroutine.
 type overloadMonitor struct {
 	log        zerolog.Logger
+	clients    zerolog.LogObjectMarshaler // the counts of the clients' side
 	overloaded bool
 	nextLook   time.Time
 	since      time.Time // beginning of the overload
@@ -44,5 +45,5 @@
 }
 
 func (m *overloadMonitor) event(e *zerolog.Event, load eventloop.Load) *zerolog.Event {
-	return e.Int("events", load.Events).Dur("delay", load.Delay).Dur("turn", load.Turn)
+	return e.Int("events", load.Events).Dur("delay", load.Delay).Dur("turn", load.Turn).Object("clients", m.clients)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,7 +38,10 @@
 	bindTimeout       = 30 * time.Second      // a predecessor may still hold the address; later the platform gives up
 	bindRetryInterval = 20 * time.Millisecond // time between two attempts to listen
 	reservedFiles     = 24                    // descriptors of listener, journal connection, standard streams, runtime
-	heapShare         = 0.7                   // of MemoryMB, for Go's soft memory limit; stacks and code come on top
+	// Shares of MemoryMB.
+	heapShare    = 0.7  // for Go's soft memory limit; stacks and code come on top
+	requestShare = 0.12 // for large RPCs from when they are read
+	answerShare  = 0.12 // for answers that clients have not read
 )
 
 // FrontEnd is a front end that runs on the operators' platform.
@@ -83,17 +86,18 @@
 }
 
 // NextDue implements eventloop.Handler: it returns the time of the next turn that is needed without an event.
-func (h loopHandler) NextDue() (router.Time, bool) {
-	a, anyA := h.Engine.NextDue()
-	b, anyB := h.frontEnd.dispatcher.NextDue()
-	if anyA && (!anyB || a < b) {
-		return a, true
+func (h loopHandler) NextDue() (due router.Time, any bool) {
+	for _, next := range []func() (router.Time, bool){h.Engine.NextDue, h.frontEnd.dispatcher.NextDue, h.frontEnd.server.NextDue} {
+		if t, needed := next(); needed && (!any || t < due) {
+			due, any = t, true
+		}
 	}
-	return b, anyB
+	return due, any
 }
 
 // EndTurn implements eventloop.Handler.
 func (h loopHandler) EndTurn() {
+	h.frontEnd.server.HandleMessages()
 	h.frontEnd.dispatcher.Admit()
 	h.Engine.EndTurn()
 	h.frontEnd.server.FlushTurn()
@@ -108,7 +112,6 @@
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: eventloop.NewLoop(),
 		lameDuckTime: lameDuckTime, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
-	f.overload.log = f.log
 	f.loop.SetMinInterval(c.minTurnInterval())
 	f.epoch = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.engine = engine.New(engine.Options{Settings: c.RouterSettings, Seed: c.Seed, Now: f.loop.Now(), AnswerMargin: eventloop.FromDuration(answerMargin),
@@ -117,6 +120,7 @@
 	f.dispatcher = dispatch.New(f.engine, dispatch.Options{Methods: c.Methods, Customers: c.Customers, AnswerMargin: eventloop.FromDuration(answerMargin), NoJoin: true})
 	f.links = httplink.New(f.loop, f.engine, f.linkOptions(c))
 	f.server = thrift.New(f.loop, f.dispatcher, thrift.Options{Limits: c.thriftLimits(), Ready: f.ready, Log: f.log})
+	f.overload.log, f.overload.clients = f.log, f.server.Counts()
 	f.feed = feed.New(c.JournalAddress, f.handleEvents, f.handleExpiry, f.log)
 	return f, c, nil
 }
@@ -207,7 +211,8 @@
 	_ = loopGroup.Wait()
 	f.log.Info().Int("unanswered", n.Open).Dur("after", time.Since(began)).Uint64("taken", n.Taken).Uint64("ok", n.OK).
 		Uint64("denied", n.Denied).Uint64("aborted", n.Aborted).Uint64("left", n.Left).Uint64("call_outs", n.CallOuts).
-		Uint64("load_orders", n.Orders).Uint64("checks", n.Checks).Uint64("turns", n.Turns).Msg("front end has left")
+		Uint64("load_orders", n.Orders).Uint64("checks", n.Checks).Uint64("turns", n.Turns).Object("clients", f.server.Counts()).
+		Msg("front end has left")
 	return nil
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -129,6 +129,26 @@
 	askedFrom          int      // the highest event number that a request asked from
 	frontEnd           *FrontEnd
 	idleConns          []net.Conn
+	log                logBuffer
+}
+
+// logBuffer holds the front end's log, which is printed if the script fails.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 type message struct {
@@ -157,7 +177,7 @@
 
 func (s *runner) fail(format string, args ...any) {
 	s.t.Helper()
-	s.t.Fatalf("step %q: %s", s.step, fmt.Sprintf(format, args...))
+	s.t.Fatalf("step %q: %s; the front end's log:\n%s", s.step, fmt.Sprintf(format, args...), s.log.String())
 }
 
 func (s *runner) must(err error) {
@@ -549,7 +569,7 @@
 	s.must(err)
 	s.listenAddress, s.configPath = l.Addr().String(), filepath.Join(s.t.TempDir(), "config.json")
 	s.writeConfig()
-	f, c, err := New(s.configPath, func(string) string { return "" }, zerolog.Nop())
+	f, c, err := New(s.configPath, func(string) string { return "" }, zerolog.New(&s.log).With().Timestamp().Logger())
 	s.must(err)
 	if !strings.Contains(s.t.Name(), "leave") { // the other scripts need no lame duck time
 		f.lameDuckTime = 0
--- a/internal/thrift/codec.go
+++ b/internal/thrift/codec.go
@@ -13,6 +13,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"strconv"
 	"strings"
@@ -27,6 +28,9 @@
 	maxBody   = 16 << 10
 	maxFields = 64              // of one RPC
 	maxFrame  = maxBody + 8<<10 // a body, and far more than an RPC's fields need
+
+	lengthBytes        = 4  // of the length of a frame or a string
+	executeHeaderBytes = 32 // of a frame, at most, that tell the sequence number of an execute message
 )
 
 // Methods of the protocol.
@@ -61,7 +65,7 @@
 	var fields map[string]string
 	var body []byte
 	var interruptSeq int32
-	for {
+	for fieldCount := 0; ; fieldCount++ {
 		_, fieldType, fieldID, err := r.ReadFieldBegin(ctx)
 		if err != nil {
 			return fmt.Errorf("field: %w", err)
@@ -69,11 +73,14 @@
 		if fieldType == wire.STOP {
 			break
 		}
+		if fieldCount >= maxFields {
+			return fmt.Errorf("more than %d fields", maxFields)
+		}
 		switch {
 		case name == methodExecute && fieldID == 1 && fieldType == wire.MAP:
 			fields, err = readFields(ctx, r, buf)
 		case name == methodExecute && fieldID == 2 && fieldType == wire.STRING:
-			body, err = readBytes(ctx, r, buf)
+			body, err = readBytes(buf)
 		case name == methodInterrupt && fieldID == 1 && fieldType == wire.I32:
 			interruptSeq, err = r.ReadI32(ctx)
 		default:
@@ -116,11 +123,11 @@
 	}
 	fields := make(map[string]string, n)
 	for range n {
-		k, err := readBytes(ctx, r, buf)
+		k, err := readBytes(buf)
 		if err != nil {
 			return nil, err
 		}
-		v, err := readBytes(ctx, r, buf)
+		v, err := readBytes(buf)
 		if err != nil {
 			return nil, err
 		}
@@ -132,15 +139,30 @@
 	return fields, nil
 }
 
-// readBytes reads a string. It checks the string's length against the rest of the frame first, so that no memory is
-// allocated for bytes that are not there.
-func readBytes(ctx context.Context, r wire.TProtocol, buf *bytes.Buffer) ([]byte, error) {
-	if rest := buf.Bytes(); len(rest) >= 4 {
-		if n := int32(binary.BigEndian.Uint32(rest)); n < 0 || int(n) > len(rest)-4 {
-			return nil, fmt.Errorf("string of %d bytes, the frame has %d left", n, len(rest)-4)
-		}
+// readBytes reads a string without copying it: it is a part of the frame. Its length is checked against the rest of the
+// frame first.
+func readBytes(buf *bytes.Buffer) ([]byte, error) {
+	rest := buf.Bytes()
+	if len(rest) < lengthBytes {
+		return nil, io.ErrUnexpectedEOF
+	}
+	n := int32(binary.BigEndian.Uint32(rest))
+	if n < 0 || int(n) > len(rest)-lengthBytes {
+		return nil, fmt.Errorf("string of %d bytes, the frame has %d left", n, len(rest)-lengthBytes)
+	}
+	return buf.Next(lengthBytes + int(n))[lengthBytes:], nil
+}
+
+// readExecuteHeader returns the sequence number of an execute message from the first bytes of its frame. It returns an
+// error if they begin another message.
+func readExecuteHeader(start []byte) (seq int32, err error) {
+	ctx := context.Background()
+	r := wire.NewTBinaryProtocolConf(&wire.TMemoryBuffer{Buffer: bytes.NewBuffer(start)}, protocolConfig)
+	name, msgType, seq, err := r.ReadMessageBegin(ctx)
+	if err == nil && (name != methodExecute || msgType != wire.CALL) {
+		err = fmt.Errorf("message type %d of %.40q", msgType, name)
 	}
-	return r.ReadBinary(ctx)
+	return seq, err
 }
 
 // encodeReply encodes a frame with a reply; writeResult writes the field of the result that is set.
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -1,61 +1,63 @@
 package thrift
 
 import (
-	"bufio"
-	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"mallowlanding/internal/dispatch"
-	"mallowlanding/internal/engine"
 	"mallowlanding/internal/eventloop"
+	"mallowlanding/internal/intake"
 	"mallowlanding/internal/sockio"
 	"mallowlanding/router"
 )
 
-// conn is one client's connection. Its own goroutine reads messages; the event loop's goroutine handles its RPCs.
+// conn is one client's connection. Its own goroutine reads messages; the event loop's goroutine handles them.
 type conn struct {
 	server      *Server
 	netConn     net.Conn
 	socket      sockio.Socket
-	lastActive  atomic.Int64 // time of its last message or answer, Unix ns
-	sentMessage atomic.Bool  // a complete message has been received
-	invalidRPCs atomic.Int32 // consecutive RPCs that were rejected as invalid
+	source      *intake.Source[*message] // messages that have been read and not handled
+	resume      chan struct{}            // tells a waiting reader to look whether it may read on
+	lastActive  atomic.Int64             // time of its last message or answer, Unix ns
+	sentMessage atomic.Bool              // a complete message has been received
+	invalidRPCs atomic.Int32             // consecutive RPCs that were rejected as invalid
+	inputEnded  atomic.Bool              // nothing more is read; RPCs that have not begun never do
+	ended       atomic.Bool              // the server closes the connection, for endReason
+	endReason   atomic.Int32
 
 	// Guarded by mu, under which closeIfIdle decides whether the connection may be closed.
-	mu           sync.Mutex
-	openRPCs     int       // RPCs that have been read and have not finished
-	readingSince time.Time // when the message being read began; zero: none is
-	closing      bool      // no further message is read
-	unsent       []byte    // answers that have not been written to the socket
-	writing      bool      // a goroutine is writing them
+	mu              sync.Mutex
+	unhandled       int       // messages that have been read and not handled
+	openRPCs        int       // RPCs that have been read and have not finished
+	readingSince    time.Time // when the message being read began; zero: none is
+	reservedReading int64     // bytes reserved for the message being read
+	closing         bool      // no further message is read
+	unsent          []byte    // answers that have not been written to the socket
+	writing         bool      // a goroutine is writing answers
+	writingBytes    int       // those that it writes now
+	reservedUnsent  int64     // bytes reserved for answers
 
 	// The following fields belong to the event loop's goroutine.
 	dispatchConn     *dispatch.Conn
 	lastSeq          int32 // sequence number of the last RPC
 	okAnswers        int   // RPCs answered ok
 	pendingBySeq     map[int32]*pending
+	held             []*pending     // open RPCs that have not been submitted: an interrupt of theirs may be unread
+	inHolding        bool           // in Server.holding
 	interruptedEarly map[int32]bool // RPCs whose interrupt came first, by sequence number
 	closed           bool
 	needsFlush       bool // has answers from this turn
 }
 
-// pending is an open RPC. It implements dispatch.Responder.
-type pending struct {
-	conn    *conn
-	seq     int32
-	rpcID   uint64
-	request *dispatch.Request
-}
-
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, netConn: nc, socket: sockio.NewSocket(nc), pendingBySeq: map[int32]*pending{}}
+	c := &conn{server: s, netConn: nc, socket: sockio.NewSocket(nc), pendingBySeq: map[int32]*pending{}, resume: make(chan struct{}, 1)}
+	if s.intake != nil {
+		c.source = s.intake.NewSource(c.signalResume)
+	}
 	c.lastActive.Store(time.Now().UnixNano())
 	return c
 }
@@ -69,8 +71,14 @@
 }
 
 func (c *conn) isIdleLocked(partialTimeout time.Duration) bool {
-	stuck := partialTimeout > 0 && !c.readingSince.IsZero() && time.Since(c.readingSince) > partialTimeout
-	return !c.closing && c.openRPCs == 0 && len(c.unsent) == 0 && !c.writing && (c.readingSince.IsZero() || stuck)
+	return !c.closing && c.openRPCs == 0 && c.unhandled == 0 && len(c.unsent) == 0 && !c.writing &&
+		(c.readingSince.IsZero() || c.isStuckLocked(partialTimeout))
+}
+
+// isStuckLocked reports whether a message has been incomplete for longer than partialTimeout, if that is above 0. The
+// caller holds mu.
+func (c *conn) isStuckLocked(partialTimeout time.Duration) bool {
+	return partialTimeout > 0 && !c.readingSince.IsZero() && time.Since(c.readingSince) > partialTimeout
 }
 
 // closeIfIdle closes the connection if it is idle and its socket has no unread bytes, and reports whether it has. This
@@ -122,6 +130,13 @@
 	return c.openRPCs > 0
 }
 
+// setReserved records how many bytes are reserved for the message being read.
+func (c *conn) setReserved(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reservedReading = n
+}
+
 // closesBefore reports whether c is closed before other to make room, where neither has an open RPC.
 func (c *conn) closesBefore(other *conn) bool {
 	if a, b := c.sentMessage.Load(), other.sentMessage.Load(); a != b {
@@ -130,174 +145,152 @@
 	return c.lastActive.Load() < other.lastActive.Load()
 }
 
-func (c *conn) serve() {
-	err := c.read()
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		c.server.options.Log.Debug().Err(err).Str("client", c.netConn.RemoteAddr().String()).Msg("client connection ended with an error")
+// closeFor closes the connection for a reason. Any goroutine may call it.
+func (c *conn) closeFor(reason closeReason) {
+	if c.ended.CompareAndSwap(false, true) {
+		c.endReason.Store(int32(reason))
 	}
-	c.server.loop.Post(c.shutDown)
-	c.server.mu.Lock()
-	delete(c.server.conns, c)
-	c.server.mu.Unlock()
-	c.awaitUnsent()
 	c.netConn.Close()
-	c.server.openDescriptors.Add(-1)
+	c.signalResume()
 }
 
-// awaitUnsent waits a short time for unsent answers to be written before the connection is closed.
-func (c *conn) awaitUnsent() {
-	for until := time.Now().Add(invalidRPCPause); c.unsentBytes() > 0 && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
-	}
+// end closes the connection and abandons its RPCs. It must be called in a turn of the event loop.
+func (c *conn) end(reason closeReason) {
+	c.shutDown()
+	c.closeFor(reason)
 }
 
-// read reads messages until the stream ends or is malformed.
-func (c *conn) read() error {
-	r := bufio.NewReaderSize(c.netConn, 1024)
-	if err := c.netConn.SetReadDeadline(time.Now().Add(firstMessageTimeout)); err != nil {
-		return err
+// handle handles one message. It must be called in a turn of the event loop.
+func (c *conn) handle(m *message) {
+	switch {
+	case c.closed:
+		c.drop(m)
+	case m.kind == interruptMessage:
+		c.handleInterrupt(m.seq)
+	case m.kind == checkMessage:
+		c.send(encodeAnswer(methodCheck, m.seq, nil, c.server.options.Ready()))
+	case m.isRPC():
+		c.handleRPC(m)
 	}
-	for {
-		if c.sentMessage.Load() {
-			if err := c.awaitMessage(r); err != nil {
-				return err
-			}
-		} else if _, err := r.Peek(1); err != nil {
-			return err
-		}
-		if !c.beginMessage() {
-			return net.ErrClosed
-		}
-		var head [4]byte
-		if _, err := io.ReadFull(r, head[:]); err != nil {
-			return err
-		}
-		n := int32(binary.BigEndian.Uint32(head[:]))
-		if n <= 0 || n > maxFrame {
-			return fmt.Errorf("frame of %d bytes, limit %d", n, maxFrame)
-		}
-		frame := make([]byte, n)
-		if _, err := io.ReadFull(r, frame); err != nil {
-			return err
-		}
-		c.sentMessage.Store(true)
-		c.lastActive.Store(time.Now().UnixNano())
-		if err := decode(frame, c); err != nil {
-			return fmt.Errorf("message: %w", err)
-		}
-		c.endMessage(r.Buffered() > 0)
-		if c.invalidRPCs.Load() > 0 && c.pauseAfterInvalid() {
-			return io.EOF
-		}
-		if invalid := c.invalidRPCs.Load(); invalid >= maxInvalidRPCs && !c.hasOpenRPCs() {
-			return fmt.Errorf("%d invalid RPCs in a row", invalid)
-		}
+	c.countHandled(m)
+	if m.drained || m.kind == inputDrainedMessage {
+		c.submitHeld()
 	}
 }
 
-// pauseAfterInvalid delays reading after an invalid RPC, so that clients that send those at full speed don't occupy the
-// core. It reports whether the client has left meanwhile, so that its other RPCs are not sent to workers in vain.
-func (c *conn) pauseAfterInvalid() (clientLeft bool) {
-	for until := time.Now().Add(invalidRPCPause); time.Now().Before(until) && !clientLeft; {
-		time.Sleep(pollInterval)
-		clientLeft = c.socket.PeerClosed()
+// countHandled records that a message has been handled or dropped.
+func (c *conn) countHandled(m *message) {
+	if m.kind == inputDrainedMessage {
+		return
 	}
-	return clientLeft
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unhandled--
 }
 
-// awaitMessage waits for the first byte of a message. It returns an error once the connection has been idle, with no
-// open RPC, for idleTimeout.
-func (c *conn) awaitMessage(r *bufio.Reader) error {
-	for r.Buffered() == 0 {
-		if err := c.netConn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
-			return err
-		}
-		_, err := r.Peek(1)
-		if err == nil {
-			break
-		}
-		if !isTimeout(err) || !c.hasOpenRPCs() && time.Now().UnixNano()-c.lastActive.Load() >= int64(idleTimeout) {
-			return err
-		}
+// drop forgets a message that gets no answer.
+func (c *conn) drop(m *message) {
+	c.server.requests.Release(m.reserved)
+	if m.isRPC() {
+		c.addOpenRPCs(-1)
 	}
-	return c.netConn.SetReadDeadline(time.Now().Add(messageTimeout))
-}
-
-// execute implements requestHandler.
-func (c *conn) execute(seq int32, fields map[string]string, body []byte) {
-	receivedAt := time.Now()
-	p, err := c.server.parseParams(fields, body)
-	c.addOpenRPCs(1)
-	c.server.loop.Post(func() {
-		switch {
-		case c.closed:
-			c.addOpenRPCs(-1)
-		case c.interruptedEarly[seq]: // needs no answer
-			delete(c.interruptedEarly, seq)
-			c.lastSeq = max(c.lastSeq, seq)
-			c.addOpenRPCs(-1)
-		case seq <= c.lastSeq || len(c.pendingBySeq) >= maxOpenRPCs: // number used before, or too many open RPCs
-			c.addOpenRPCs(-1)
-			c.server.options.Log.Debug().Str("client", c.netConn.RemoteAddr().String()).Int32("seq", seq).Int32("last", c.lastSeq).
-				Int("open", len(c.pendingBySeq)).Msg("closing client connection: sequence number used before, or too many open RPCs")
-			c.shutDown()
-			c.netConn.Close()
-		case err != nil:
-			c.lastSeq = seq
-			c.rejectRPC(seq, err)
-		case !c.server.acceptID(parseID(p.ClientRPCID), c):
-			c.lastSeq = seq
-			c.rejectRPC(seq, errDuplicateID)
-		default:
-			c.lastSeq = seq
-			c.invalidRPCs.Store(0)
-			a := &pending{conn: c, seq: seq, rpcID: parseID(p.ClientRPCID)}
-			c.pendingBySeq[seq] = a
-			c.server.recentIDs[0][a.rpcID] = a
-			c.server.options.Log.Debug().Float64("budget", p.TimeoutMS).Bool("again", p.Repeat).Int("method", p.Method).Msg("RPC received")
-			a.request = c.openDispatchConn().Submit(p, eventloop.FromDuration(time.Since(receivedAt)), a)
-		}
-	})
 }
 
 // errDuplicateID rejects an RPC whose id is that of an open or recent one.
 var errDuplicateID = errors.New(`"rid" was seen before`)
 
-// rejectRPC answers an invalid RPC. It must be called in a turn of the event loop.
-func (c *conn) rejectRPC(seq int32, err error) {
-	c.invalidRPCs.Add(1)
-	c.server.options.Log.Debug().Err(err).Str("client", c.netConn.RemoteAddr().String()).Int32("seq", seq).Int("open", len(c.pendingBySeq)).
-		Msg("invalid RPC rejected")
-	c.send(encodeFault(seq, err.Error()))
-	c.addOpenRPCs(-1)
+// handleRPC accepts, rejects or refuses an RPC.
+func (c *conn) handleRPC(m *message) {
+	log := c.server.options.Log
+	switch {
+	case c.interruptedEarly[m.seq]: // needs no answer
+		delete(c.interruptedEarly, m.seq)
+		c.lastSeq = max(c.lastSeq, m.seq)
+		c.drop(m)
+	case m.seq <= c.lastSeq || len(c.pendingBySeq) >= maxOpenRPCs: // number used before, or too many open RPCs
+		c.drop(m)
+		log.Debug().Str("client", c.netConn.RemoteAddr().String()).Int32("seq", m.seq).Int32("last", c.lastSeq).
+			Int("open", len(c.pendingBySeq)).Msg("closing client connection: sequence number used before, or too many open RPCs")
+		c.end(closedSequence)
+	case m.kind == refusedMessage:
+		c.lastSeq = m.seq
+		c.server.counts.refusals[refusedMemory].Add(1)
+		c.send(encodeShed(m.seq, c.server.limits.Load().RetryAfter))
+		c.drop(m)
+	case m.invalid != nil:
+		c.rejectRPC(m, refusedInvalid, m.invalid)
+	case c.inputEnded.Load(): // nobody waits for it
+		c.lastSeq = m.seq
+		c.drop(m)
+	case !c.server.acceptID(parseID(m.params.ClientRPCID), c):
+		c.rejectRPC(m, refusedDuplicateID, errDuplicateID)
+	default:
+		c.acceptRPC(m)
+	}
+}
+
+// acceptRPC opens an RPC, which is submitted once all that its client has sent has been read.
+func (c *conn) acceptRPC(m *message) {
+	c.lastSeq = m.seq
+	c.invalidRPCs.Store(0)
+	p := &pending{conn: c, seq: m.seq, rpcID: parseID(m.params.ClientRPCID), params: m.params, receivedAt: m.receivedAt, reserved: m.reserved}
+	timeout := min(eventloop.FromDuration(time.Duration(m.params.TimeoutMS*float64(time.Millisecond))), c.server.dispatcher.MethodAt(m.params.Method).Deadline)
+	p.refuseAt = p.receivedAt.Add(eventloop.ToDuration(timeout) / maxHeldPart)
+	c.pendingBySeq[m.seq] = p
+	c.server.recentIDs[0][p.rpcID] = p
+	if !c.inHolding {
+		c.inHolding = true
+		c.server.holding = append(c.server.holding, c)
+	}
+	c.held = append(c.held, p)
 }
 
-// interrupt implements requestHandler.
-func (c *conn) interrupt(seq int32) {
-	c.server.loop.Post(func() {
-		if p := c.pendingBySeq[seq]; p != nil {
-			p.request.Abandon()
-			p.finish()
-		} else if seq > c.lastSeq && len(c.interruptedEarly) < maxOpenRPCs { // received before its RPC
-			if c.interruptedEarly == nil {
-				c.interruptedEarly = map[int32]bool{}
-			}
-			c.interruptedEarly[seq] = true
+// submitHeld submits the held RPCs to the dispatcher.
+func (c *conn) submitHeld() {
+	held := c.held
+	c.held = nil
+	for _, p := range held {
+		if c.pendingBySeq[p.seq] != p { // the answer to another one has ended the connection
+			continue
 		}
-	})
+		c.server.options.Log.Debug().Float64("budget", p.params.TimeoutMS).Bool("again", p.params.Repeat).Int("method", p.params.Method).Msg("RPC received")
+		p.request = c.openDispatchConn().Submit(p.params, eventloop.FromDuration(time.Since(p.receivedAt)), p)
+		p.params = dispatch.Params{}
+	}
 }
 
-// check implements requestHandler.
-func (c *conn) check(seq int32) {
-	ready := c.server.options.Ready()
-	c.server.loop.Post(func() { c.send(encodeAnswer(methodCheck, seq, nil, ready)) })
+// refuseHeld denies held RPCs of which too much time has passed.
+func (c *conn) refuseHeld(now time.Time) {
+	for _, p := range slices.Clone(c.held) {
+		if now.After(p.refuseAt) {
+			c.server.counts.refusals[refusedBacklog].Add(1)
+			p.Denied("", c.server.limits.Load().RetryAfter)
+		}
+	}
 }
 
-// evict rejects an open RPC whose id belongs to another client. It must be called in a turn of the event loop.
-func (p *pending) evict() {
-	p.request.Abandon()
-	p.conn.invalidRPCs.Add(1)
-	p.Rejected(errDuplicateID.Error())
+// rejectRPC answers an RPC that is invalid, or not accepted.
+func (c *conn) rejectRPC(m *message, reason refusalReason, err error) {
+	c.lastSeq = m.seq
+	c.invalidRPCs.Add(1)
+	c.server.counts.refusals[reason].Add(1)
+	c.server.options.Log.Debug().Err(err).Str("client", c.netConn.RemoteAddr().String()).Int32("seq", m.seq).Int("open", len(c.pendingBySeq)).
+		Msg("invalid RPC rejected")
+	c.send(encodeFault(m.seq, err.Error()))
+	c.drop(m)
+}
+
+// handleInterrupt ends an RPC that its client has taken back.
+func (c *conn) handleInterrupt(seq int32) {
+	if p := c.pendingBySeq[seq]; p != nil {
+		p.abandon()
+		p.finish()
+	} else if seq > c.lastSeq && len(c.interruptedEarly) < maxOpenRPCs { // received before its RPC
+		if c.interruptedEarly == nil {
+			c.interruptedEarly = map[int32]bool{}
+		}
+		c.interruptedEarly[seq] = true
+	}
 }
 
 // openDispatchConn returns the connection's counterpart in the dispatcher, and opens it first if needed. It must be
@@ -327,81 +320,53 @@
 		p.finish()
 		c.server.forgetID(p.rpcID)
 	}
+	c.dropWaiting()
 }
 
-func (p *pending) finish() {
-	p.conn.server.rpcFinished(p)
-	delete(p.conn.pendingBySeq, p.seq)
-	p.conn.lastActive.Store(time.Now().UnixNano())
-	p.conn.addOpenRPCs(-1)
-}
-
-// send queues an answer, which is written at the end of the turn. It must be called in a turn of the event loop.
-func (c *conn) send(frame []byte) {
-	if c.closed {
-		return
-	}
-	c.mu.Lock()
-	c.unsent = append(c.unsent, frame...)
-	unsent := len(c.unsent)
-	c.mu.Unlock()
-	if unsent > maxUnsentBytes {
-		c.shutDown()
-		c.netConn.Close()
-		return
-	}
-	if !c.needsFlush {
-		c.needsFlush = true
-		c.server.toFlush = append(c.server.toFlush, c)
+// pending is an open RPC. It implements dispatch.Responder.
+type pending struct {
+	conn       *conn
+	seq        int32
+	rpcID      uint64
+	reserved   int64 // bytes of the server's account
+	receivedAt time.Time
+	params     dispatch.Params   // while it is held
+	refuseAt   time.Time         // it is held no longer than until then
+	request    *dispatch.Request // nil while it is held
+}
+
+// wasSent reports whether the RPC may have reached a worker.
+func (p *pending) wasSent() bool { return p.request != nil && p.request.WasSent() }
+
+// abandon ends the RPC at the dispatcher, without an answer.
+func (p *pending) abandon() {
+	if p.request != nil {
+		p.request.Abandon()
 	}
 }
 
-// flush writes as much as the socket accepts without blocking, and starts a goroutine that writes the rest.
-func (c *conn) flush() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writing {
-		return
-	}
-	c.unsent = c.unsent[c.socket.TryWrite(c.unsent):]
-	if len(c.unsent) == 0 {
-		c.unsent = nil
-		return
-	}
-	c.writing = true
-	go c.writeUnsent()
+// evict rejects an open RPC whose id belongs to another client. It must be called in a turn of the event loop.
+func (p *pending) evict() {
+	p.abandon()
+	p.conn.invalidRPCs.Add(1)
+	p.conn.server.counts.refusals[refusedDuplicateID].Add(1)
+	p.Rejected(errDuplicateID.Error())
 }
 
-func (c *conn) writeUnsent() {
-	for {
-		c.mu.Lock()
-		batch := c.unsent
-		if c.unsent = nil; len(batch) == 0 {
-			c.writing = false
-			c.mu.Unlock()
-			return
-		}
-		c.mu.Unlock()
-		_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.netConn.Write(batch); err != nil {
-			c.netConn.Close() // ends the reader, too
-			c.mu.Lock()
-			c.unsent, c.writing = nil, false
-			c.mu.Unlock()
-			return
-		}
+// finish closes the RPC, which was answered or abandoned.
+func (p *pending) finish() {
+	c := p.conn
+	if c.pendingBySeq[p.seq] != p { // its own answer has ended the connection
+		return
 	}
-}
-
-// unsentBytes returns how many bytes of answers have not been written. While a goroutine is writing, it adds 1 to those
-// that are still queued.
-func (c *conn) unsentBytes() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writing {
-		return len(c.unsent) + 1
+	c.server.rpcFinished(p)
+	delete(c.pendingBySeq, p.seq)
+	if p.request == nil {
+		c.held = slices.DeleteFunc(c.held, func(held *pending) bool { return held == p })
 	}
-	return len(c.unsent)
+	c.lastActive.Store(time.Now().UnixNano())
+	c.server.requests.Release(p.reserved)
+	c.addOpenRPCs(-1)
 }
 
 // OK implements dispatch.Responder.
@@ -423,62 +388,3 @@
 	p.conn.send(frame) // before finish: a connection without open RPCs and unsent answers may be closed at any time
 	p.finish()
 }
-
-// parseParams parses and validates all fields of an RPC. Any goroutine may call it.
-func (s *Server) parseParams(fields map[string]string, body []byte) (p dispatch.Params, err error) {
-	method, methodKnown := s.dispatcher.MethodIndex(fields["method"])
-	budget, err := parseNumber(fields["budget"], maxBudgetMs)
-	if err != nil {
-		return p, fmt.Errorf(`"budget": %w`, err)
-	}
-	p = dispatch.Params{Method: method, Function: fields["obj"], Customer: fields["acct"], Token: fields["token"],
-		ClientRPCID: fields["rid"], TimeoutMS: budget, Blob: body, Repeat: fields["again"] != ""}
-	again, isRepeat := fields["again"]
-	switch {
-	case !methodKnown:
-		return p, fmt.Errorf(`no method %.40q`, fields["method"])
-	case !isHex(p.ClientRPCID, 16):
-		return p, fmt.Errorf(`"rid": %.40q is not 16 hex digits`, p.ClientRPCID)
-	case !isHex(p.Function, 16):
-		return p, fmt.Errorf(`"obj": %.40q is not 16 hex digits`, p.Function)
-	case p.Token != "" && !isVisibleASCII(p.Token, 64):
-		return p, errors.New(`"token" has bytes that can't be passed on`)
-	case isRepeat && again != "1":
-		return p, fmt.Errorf(`"again": %.40q is not 1`, again)
-	case len(body) > maxBody:
-		return p, fmt.Errorf("a body of %d bytes, %d are taken", len(body), maxBody)
-	}
-	if p.FunctionSpec, err = s.parseFunctionSpec(fields["facts"]); err != nil {
-		return p, fmt.Errorf(`"facts": %w`, err)
-	}
-	return p, s.dispatcher.Validate(&p)
-}
-
-// parseFunctionSpec parses the resources that a copy of the function needs.
-func (s *Server) parseFunctionSpec(facts string) (*engine.FunctionSpec, error) {
-	spec := &engine.FunctionSpec{}
-	for fact := range strings.SplitSeq(facts, ";") {
-		name, value, _ := strings.Cut(fact, ":")
-		var v float64
-		var err error
-		switch name {
-		case "memory_mb":
-			spec.MemoryMB, err = parseNumber(value, s.limits.Load().MaxMemoryMB)
-		case "lanes":
-			if v, err = parseNumber(value, maxLanes); err == nil && v != float64(int(v)) {
-				err = fmt.Errorf("%.24q is not whole", value)
-			}
-			spec.Lanes = int(v)
-		case "load_ms":
-			v, err = parseNumber(value, maxBudgetMs)
-			spec.LoadTime = router.Time(v * 10)
-		}
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", name, err)
-		}
-	}
-	if spec.MemoryMB == 0 || spec.Lanes == 0 {
-		return nil, errors.New("memory_mb or lanes is missing")
-	}
-	return spec, nil
-}
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -1,9 +1,12 @@
 package thrift
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
+	"runtime"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -13,6 +16,8 @@
 
 	"mallowlanding/internal/dispatch"
 	"mallowlanding/internal/eventloop"
+	"mallowlanding/internal/intake"
+	"mallowlanding/internal/memlimit"
 	"mallowlanding/router"
 )
 
@@ -25,8 +30,12 @@
 
 // Limits are the settings that may change while a server runs.
 type Limits struct {
-	MaxConnections int     // at the limit, an idle connection is closed for a new one
-	MaxMemoryMB    float64 // limit of a copy's memory: the largest worker's
+	MaxConnections int           // at the limit, an idle connection is closed for a new one
+	MaxMemoryMB    float64       // limit of a copy's memory: the largest worker's
+	RequestBytes   int64         // held for large RPCs of all clients; 0: defaultHeldBytes
+	AnswerBytes    int64         // held for answers that clients have not read; 0: defaultHeldBytes
+	RetryAfter     router.Time   // advice to clients whose RPCs are refused; 0: none
+	IDRetention    time.Duration // least time that the id of an RPC that was sent is remembered; 0: minIDRetention
 }
 
 const (
@@ -36,42 +45,69 @@
 	idleTimeout           = 6 * time.Second       // without an open RPC; clients close after 4 s themselves
 	writeTimeout          = 2 * time.Second       // for a write of queued answers, before the connection is closed
 	maxUnsentBytes        = 1 << 20               // of answers to a slow reader, before its connection is closed
+	maxUnsentWhileReading = 64 << 10              // of answers to a client of which no more messages are read
 	maxInvalidRPCs        = 3                     // in a row, before the connection is closed
 	invalidRPCPause       = 50 * time.Millisecond // before the next message is read after an invalid RPC
 	pollInterval          = 5 * time.Millisecond  // between checks whether the client left; after a failed accept
 	partialMessageTimeout = 50 * time.Millisecond // ordinary messages are complete by then; others may be closed
 	closeTimeout          = 20 * time.Millisecond // to wait for the descriptor of a connection closed to make room
-	rpcIDRetention        = 5 * time.Second       // least time that an RPC's id is remembered; the most is twice that
+	departureInterval     = 20 * time.Millisecond // between checks whether clients that are not read have left
+	minIDRetention        = 5 * time.Second       // the most is twice the retention
+	defaultHeldBytes      = 8 << 20
+	maxHeldPart           = 2 // an RPC whose client keeps sending is refused after 1/maxHeldPart of its time
 )
 
+// intakeLimits are the rates of messages. router.Time counts 100 us. A client has at most 32 RPCs open, and a front end
+// serves far fewer RPCs a second than all connections together may send messages.
+var intakeLimits = intake.Limits{SourceMessages: 32, SourceCost: 64, SourceRate: 0.2, SourceBurst: 64, NewSourceBurst: 8, TotalRate: 1.6, TotalBurst: 128,
+	TotalMessages: 256}
+
+// intakeInterval is the time after which messages that wait for the token buckets are looked at again.
+const intakeInterval = router.Time(time.Millisecond / eventloop.Unit)
+
 // Server accepts clients' connections.
 type Server struct {
-	options         Options
-	limits          atomic.Pointer[Limits]
-	loop            *eventloop.Loop
-	dispatcher      *dispatch.Dispatcher
-	openDescriptors atomic.Int32 // of connections, from accept until close has returned
-	mu              sync.Mutex
-	conns           map[*conn]bool
+	options           Options
+	limits            atomic.Pointer[Limits]
+	loop              *eventloop.Loop
+	dispatcher        *dispatch.Dispatcher
+	intake            *intake.Scheduler[*message]
+	requests, answers *memlimit.Account
+	counts            counts
+	openDescriptors   atomic.Int32 // of connections, from accept until close has returned
+	mu                sync.Mutex
+	conns             map[*conn]bool
+	blocked           map[*conn]bool // those whose reader waits
 
 	// The following fields belong to the event loop's goroutine.
-	now       router.Time
-	toFlush   []*conn                // connections with answers from this turn
-	recentIDs [2]map[uint64]*pending // RPCs by id, nil once finished; [1] holds those from before rotatedAt
-	rotatedAt router.Time
+	now              router.Time
+	toFlush          []*conn                // connections with answers from this turn
+	holding          []*conn                // connections with held RPCs
+	recentIDs        [2]map[uint64]*pending // RPCs by id, nil once finished; [1] holds those from before rotatedAt
+	rotatedAt        router.Time
+	departuresSeenAt time.Time
 }
 
 // New returns a server for a dispatcher that runs on the event loop.
 func New(loop *eventloop.Loop, d *dispatch.Dispatcher, o Options) *Server {
-	s := &Server{options: o, loop: loop, dispatcher: d, conns: map[*conn]bool{}, recentIDs: [2]map[uint64]*pending{{}, {}}}
-	s.limits.Store(&o.Limits)
+	s := &Server{options: o, loop: loop, dispatcher: d, conns: map[*conn]bool{}, blocked: map[*conn]bool{},
+		recentIDs: [2]map[uint64]*pending{{}, {}}, intake: intake.New[*message](intakeLimits, loop.Wake),
+		requests: memlimit.NewAccount(0), answers: memlimit.NewAccount(0)}
+	s.setLimits(o.Limits)
 	return s
 }
 
+func (s *Server) setLimits(limits Limits) {
+	limits.IDRetention = max(limits.IDRetention, minIDRetention)
+	s.limits.Store(&limits)
+	s.requests.SetLimit(cmp.Or(limits.RequestBytes, defaultHeldBytes))
+	s.answers.SetLimit(cmp.Or(limits.AnswerBytes, defaultHeldBytes))
+}
+
 // UpdateSettings replaces the limits. Any goroutine may call it. If there are more connections than the new limit, idle
 // ones are closed at once.
 func (s *Server) UpdateSettings(limits Limits) {
-	s.limits.Store(&limits)
+	s.setLimits(limits)
 	for left := int(s.openDescriptors.Load()); left > limits.MaxConnections && s.closeOneIdle(); left-- {
 	}
 }
@@ -94,6 +130,7 @@
 			continue
 		}
 		s.openDescriptors.Add(1)
+		s.counts.accepted.Add(1)
 		c := newConn(s, nc)
 		s.mu.Lock()
 		s.conns[c] = true
@@ -170,17 +207,130 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.netConn.Close()
+		c.closeFor(closedByServer)
 	}
 }
 
+// remove forgets a connection whose reader has ended.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
 // BeginTurn sets the time of a turn of the event loop and discards old RPC ids.
 func (s *Server) BeginTurn(now router.Time) {
-	if s.now = now; now-s.rotatedAt >= eventloop.FromDuration(rpcIDRetention) {
+	if s.now = now; now-s.rotatedAt >= eventloop.FromDuration(s.limits.Load().IDRetention) {
 		s.recentIDs, s.rotatedAt = [2]map[uint64]*pending{{}, s.recentIDs[0]}, now
 	}
 }
 
+// HandleMessages handles clients' messages. It must be called in each turn of the event loop, after its other events.
+func (s *Server) HandleMessages() {
+	now := time.Now()
+	if now.Sub(s.departuresSeenAt) >= departureInterval {
+		s.departuresSeenAt = now
+		s.endDeparted()
+	}
+	s.intake.Take(s.now, func(m *message) { m.conn.handle(m) })
+	s.holding = slices.DeleteFunc(s.holding, func(c *conn) bool {
+		c.refuseHeld(now)
+		c.inHolding = len(c.held) > 0
+		return !c.inHolding
+	})
+}
+
+// NextDue returns when the server needs a turn even if no event arrives; false: never.
+func (s *Server) NextDue() (router.Time, bool) { return s.now + intakeInterval, s.intake.Waiting() }
+
+// setBlocked records whether a connection's reader waits, so that it does not see whether its client leaves.
+func (s *Server) setBlocked(c *conn, blocked bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if blocked {
+		s.blocked[c] = true
+	} else {
+		delete(s.blocked, c)
+	}
+}
+
+// endDeparted ends the connections that are not read and whose clients have left.
+func (s *Server) endDeparted() {
+	var departed []*conn
+	s.mu.Lock()
+	for c := range s.blocked {
+		if c.socket.PeerClosed() {
+			departed = append(departed, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range departed {
+		c.end(closedByClient)
+	}
+}
+
+// reserveRequest reserves memory for a message that a connection begins to read. If there is not enough, messages that
+// have been incomplete for long make room.
+func (s *Server) reserveRequest(c *conn, bytes int64) bool {
+	if !s.requests.Reserve(bytes) && (!s.closeStuckReader() || !s.requests.Reserve(bytes)) {
+		return false
+	}
+	c.setReserved(bytes)
+	return true
+}
+
+// closeStuckReader closes the connection with the most memory reserved for a message that has been incomplete for long,
+// and waits a short time until the memory is released. It returns false if there is none.
+func (s *Server) closeStuckReader() bool {
+	var victim *conn
+	most := int64(0)
+	s.mu.Lock()
+	for c := range s.conns {
+		c.mu.Lock()
+		if c.reservedReading > most && c.isStuckLocked(partialMessageTimeout) {
+			victim, most = c, c.reservedReading
+		}
+		c.mu.Unlock()
+	}
+	s.mu.Unlock()
+	if victim == nil {
+		return false
+	}
+	before := s.requests.Usage().Used
+	victim.closeFor(closedStuckMessage)
+	for until := time.Now().Add(closeTimeout); s.requests.Usage().Used >= before && time.Now().Before(until); {
+		runtime.Gosched()
+	}
+	return true
+}
+
+// reserveAnswer reserves memory for an answer to a connection. If there is not enough, the connections that hold the
+// most unread answers are closed. It returns false if that is this one. It must be called in a turn of the event loop.
+func (s *Server) reserveAnswer(c *conn, bytes int64) bool {
+	for !s.answers.Reserve(bytes) {
+		victim := s.mostUnread()
+		if victim == nil || victim == c {
+			return false
+		}
+		victim.end(closedUnreadAnswers)
+		victim.dropUnsent()
+	}
+	return true
+}
+
+// mostUnread returns the connection that holds the most unread answers, or nil if none holds any.
+func (s *Server) mostUnread() (most *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bytes := int64(0)
+	for c := range s.conns {
+		if n := c.unreadAnswers(); n > bytes {
+			most, bytes = c, n
+		}
+	}
+	return most
+}
+
 // FlushTurn sends the answers of a turn. It must be called at the end of the turn.
 func (s *Server) FlushTurn() {
 	for i, c := range s.toFlush {
@@ -206,8 +356,13 @@
 	return true
 }
 
-// rpcFinished records that an RPC has finished. Its id stays known for a while.
+// rpcFinished records that an RPC has finished, whether it was answered, or its client left or took it back. The id of
+// an RPC that may have run stays known for a while; any other may come again.
 func (s *Server) rpcFinished(p *pending) {
+	if !p.wasSent() {
+		s.forgetRPC(p)
+		return
+	}
 	for _, ids := range s.recentIDs {
 		if ids[p.rpcID] == p {
 			ids[p.rpcID] = nil
@@ -215,8 +370,16 @@
 	}
 }
 
-// forgetID makes an id acceptable again, for instance because its connection ended before the answer and its client may
-// send the RPC again.
+// forgetRPC makes the id of an RPC acceptable again.
+func (s *Server) forgetRPC(p *pending) {
+	for _, ids := range s.recentIDs {
+		if ids[p.rpcID] == p {
+			delete(ids, p.rpcID)
+		}
+	}
+}
+
+// forgetID makes an id acceptable again.
 func (s *Server) forgetID(rpcID uint64) {
 	delete(s.recentIDs[0], rpcID)
 	delete(s.recentIDs[1], rpcID)
--- a/internal/thrift/server_test.go
+++ b/internal/thrift/server_test.go
@@ -30,7 +30,7 @@
 func (h loopHandler) BeginTurn(now router.Time) { h.server.BeginTurn(now); h.Engine.BeginTurn(now) }
 
 // EndTurn implements eventloop.Handler.
-func (h loopHandler) EndTurn() { h.Engine.EndTurn(); h.server.FlushTurn() }
+func (h loopHandler) EndTurn() { h.server.HandleMessages(); h.Engine.EndTurn(); h.server.FlushTurn() }
 
 // startServer starts a server without workers. The caller runs Serve and closes done once it has returned.
 func startServer(t *testing.T, limits Limits) (s *Server, l net.Listener, done chan bool) {
