Accepting never sleeps, and connections whose clients have left go before idle ones

Cause: Server.makeRoom slept in steps of 1 ms in the goroutine that accepts. At the limit it closed idle connections, which are the usual clients', while the table was full of connections whose clients had left: their readers wait for their share and don't see the end for up to 20 ms. Several accepts in a row also put many readers ahead of the event loop.

Change: makeRoom yields the processor until the closed descriptor is free; it closes departed connections first; a reader that has to wait looks for the end first; after each accept all that is ready to run goes before the next one.

--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -221,6 +221,10 @@
 	if !c.source.Full() && c.unsentBytes() <= maxUnsentWhileReading {
 		return true
 	}
+	if c.socket.PeerClosed() {
+		c.closeFor(closedByClient)
+		return false
+	}
 	c.server.setBlocked(c, true)
 	defer c.server.setBlocked(c, false)
 	c.server.counts.waits.Add(1)
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -136,6 +136,7 @@
 		s.conns[c] = true
 		s.mu.Unlock()
 		go c.serve()
+		runtime.Gosched() // all that is ready to run goes before the next connection
 	}
 }
 
@@ -148,18 +149,18 @@
 	l.Close()
 }
 
-// makeRoom reports whether one more connection may be accepted. At the limit it closes an idle one first and waits for
-// its descriptor to be closed, since the connection counts until then.
+// makeRoom reports whether one more connection may be accepted. At the limit it first closes those whose clients have
+// left, or else an idle one, and waits for a descriptor to be closed, since a connection counts until then.
 func (s *Server) makeRoom() bool {
 	full := func() bool { return int(s.openDescriptors.Load()) >= s.limits.Load().MaxConnections }
 	if !full() {
 		return true
 	}
-	if !s.closeOneIdle() {
+	if s.closeDeparted() == 0 && !s.closeOneIdle() {
 		return false
 	}
 	for until := time.Now().Add(closeTimeout); full() && time.Now().Before(until); {
-		time.Sleep(time.Millisecond)
+		runtime.Gosched() // lets the reader of the closed connection end
 	}
 	return !full()
 }
@@ -230,7 +231,7 @@
 	now := time.Now()
 	if now.Sub(s.departuresSeenAt) >= departureInterval {
 		s.departuresSeenAt = now
-		s.endDeparted()
+		s.closeDeparted()
 	}
 	s.intake.Take(s.now, func(m *message) { m.conn.handle(m) })
 	s.holding = slices.DeleteFunc(s.holding, func(c *conn) bool {
@@ -254,19 +255,18 @@
 	}
 }
 
-// endDeparted ends the connections that are not read and whose clients have left.
-func (s *Server) endDeparted() {
-	var departed []*conn
+// closeDeparted closes the connections that are not read and whose clients have left, and returns their number. Their
+// readers end their RPCs.
+func (s *Server) closeDeparted() (n int) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for c := range s.blocked {
-		if c.socket.PeerClosed() {
-			departed = append(departed, c)
+		if !c.ended.Load() && c.socket.PeerClosed() {
+			c.closeFor(closedByClient)
+			n++
 		}
 	}
-	s.mu.Unlock()
-	for _, c := range departed {
-		c.end(closedByClient)
-	}
+	return n
 }
 
 // reserveRequest reserves memory for a message that a connection begins to read. If there is not enough, messages that
