The id of an RPC whose client left stays known if the RPC may have run

Cause: conn.shutDown forgot the ids of all open RPCs of an ended connection, so that a client could send one again that had crossed a close. Such an RPC was never read, so it has no id to forget; those that were read may be with a worker. Class: a record keyed by id that is dropped although the thing it stands for lives on.

--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -318,7 +318,6 @@
 	}
 	for _, p := range c.pendingBySeq {
 		p.finish()
-		c.server.forgetID(p.rpcID)
 	}
 	c.dropWaiting()
 }
