A side-effecting RPC is not evicted for another one with its id once it was sent

Found while looking for the same mistake: Server.acceptID lets a client with more ok answers take an id from another client that has it open.

Change: only an RPC that was not sent yet, or whose method is idempotent, is evicted; otherwise the newcomer is aborted.

--- a/cmd/mallowlanding/overload_test.go
+++ b/cmd/mallowlanding/overload_test.go
@@ -83,6 +83,36 @@
 	}
 }
 
+// TestIDTakenByAnotherClientIsNotRunTwice guards against a second execution of a side-effecting RPC that is open under an
+// id which a client with more ok answers sends as well.
+func TestIDTakenByAnotherClientIsNotRunTwice(t *testing.T) {
+	f := newOverloadFleet(t, overloadMemoryMB, overloadSockets)
+	trusted, other := connect(t, f.address), connect(t, f.address)
+	send := func(nc net.Conn, request executeRequest) {
+		if _, err := nc.Write(appendExecute(nil, request)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect := func(nc net.Conn, want overloadAnswer) {
+		t.Helper()
+		_ = nc.SetReadDeadline(time.Now().Add(testTimeout))
+		if _, kind, err := readAnswer(nc); err != nil || kind != want {
+			t.Errorf("got answer %d, error %v; want answer %d", kind, err, want)
+		}
+	}
+	send(trusted, executeRequest{seq: 1, method: "query", rpcID: f.newID(), function: 1, budgetMS: 680, customer: "acme"})
+	expect(trusted, answeredOK)
+	request := executeRequest{seq: 2, method: "once", rpcID: f.newID(), function: 1, budgetMS: 680, customer: "acme"}
+	send(other, request)
+	f.awaitExecutions(request.rpcID, 1)
+	send(trusted, request)
+	expect(trusted, answeredAborted)
+	expect(other, answeredOK)
+	if n := len(f.executionsOf(request.rpcID)); n != 1 {
+		t.Errorf("an RPC was executed %d times", n)
+	}
+}
+
 // TestUnreadRPCsOfClosedConnectionAreNotSent guards against RPCs that begin after their client has closed its connection.
 func TestUnreadRPCsOfClosedConnectionAreNotSent(t *testing.T) {
 	const clients = 12
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -271,6 +271,11 @@
 	return r.execution != nil && r.execution.rpc != nil && r.execution.rpc.CallOuts() > 0
 }
 
+// Idempotent reports whether a second execution of the request would be harmless.
+func (r *Request) Idempotent() bool {
+	return r.conn.dispatcher.MethodAt(r.params.Method).Effect == router.Idempotent
+}
+
 // Finished reports whether the request is no longer open.
 func (r *Request) Finished() bool { return !r.conn.open[r] }
 
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -337,6 +337,11 @@
 // wasSent reports whether the RPC may have reached a worker.
 func (p *pending) wasSent() bool { return p.request != nil && p.request.WasSent() }
 
+// mayBeEvicted reports whether a second execution under the RPC's id would be harmless.
+func (p *pending) mayBeEvicted() bool {
+	return !p.wasSent() || p.request.Idempotent()
+}
+
 // abandon ends the RPC at the dispatcher, without an answer.
 func (p *pending) abandon() {
 	if p.request != nil {
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -342,11 +342,11 @@
 }
 
 // acceptID reports whether an RPC with this id is accepted on a connection. The id of an open or recent RPC is
-// rejected, unless that RPC is open for another client with fewer ok answers, which is then evicted. This protects
-// ordinary clients from one that sends their ids before they do.
+// rejected, unless that RPC is open for another client with fewer ok answers and has had no effect, and is then evicted.
+// This protects ordinary clients from one that sends their ids before they do.
 func (s *Server) acceptID(rpcID uint64, c *conn) bool {
 	for _, ids := range s.recentIDs {
-		if p, seen := ids[rpcID]; p != nil && p.conn.okAnswers < c.okAnswers && p.conn != c {
+		if p, seen := ids[rpcID]; p != nil && p.conn.okAnswers < c.okAnswers && p.conn != c && p.mayBeEvicted() {
 			p.evict()
 			s.forgetID(rpcID)
 		} else if seen {
