An RPC's time runs while the process is stopped

Cause: an RPC's time was counted from when the front end read it, so any time it waited in the socket was added.

Change: the server knows whether the event loop missed its turns for over 50 ms. What is read during such a stall, or within 0.2 s of its end, counts from when its connection last received something (TCP_INFO), but no earlier than the stall's begin. Outside a stall nothing is asked of the kernel.

--- a/cmd/mallowlanding/overload_fleet_test.go
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -44,6 +44,7 @@
 	stopAll   chan struct{}
 	running   sync.WaitGroup
 	lastID    atomic.Uint64
+	workTime  atomic.Int64 // of an RPC at a worker, ns
 
 	mu         sync.Mutex
 	executions map[uint64][]time.Time // start of each execution at a worker, by the RPC's id
@@ -65,6 +66,7 @@
 func newOverloadFleet(t *testing.T, memoryMB, sockets int) *overloadFleet {
 	t.Helper()
 	f := &overloadFleet{t: t, discovery: newDiscovery(t), stopAll: make(chan struct{}), executions: map[uint64][]time.Time{}, goneAt: map[uint64]time.Time{}}
+	f.workTime.Store(int64(overloadWorkTime))
 	f.lastID.Store(uint64(time.Now().UnixNano()))
 	f.discovery.publish(f.startWorkers(), true)
 	f.address = unusedAddress(t)
@@ -128,7 +130,7 @@
 	f.mu.Lock()
 	f.executions[id] = append(f.executions[id], time.Now())
 	f.mu.Unlock()
-	time.Sleep(overloadWorkTime)
+	time.Sleep(time.Duration(f.workTime.Load()))
 	out.Header().Set("X-Remark", "warm")
 	_, _ = out.Write([]byte("done"))
 }
--- a/cmd/mallowlanding/overload_test.go
+++ b/cmd/mallowlanding/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -143,6 +144,44 @@
 	}
 }
 
+// TestTimeOfRPCsRunsWhileProcessIsStopped guards against answers that are late by the time for which the front end was
+// stopped when the RPC came.
+func TestTimeOfRPCsRunsWhileProcessIsStopped(t *testing.T) {
+	const (
+		stopped = time.Second
+		budget  = 1100 * time.Millisecond
+		hang    = 4 * time.Second
+	)
+	f := newOverloadFleet(t, overloadMemoryMB, overloadSockets)
+	nc := connect(t, f.address)
+	request := executeRequest{seq: 1, method: "query", rpcID: f.newID(), function: 1, budgetMS: int(budget / time.Millisecond), customer: "acme"}
+	if _, err := nc.Write(appendExecute(nil, request)); err != nil {
+		t.Fatal(err)
+	}
+	if _, kind, err := readAnswer(nc); err != nil || kind != answeredOK {
+		t.Fatalf("got answer %d, error %v", kind, err)
+	}
+	f.workTime.Store(int64(hang))
+	if err := f.process.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	request.seq, request.rpcID = 2, f.newID()
+	sentAt := time.Now()
+	if _, err := nc.Write(appendExecute(nil, request)); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(stopped)
+	if err := f.process.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.SetReadDeadline(time.Now().Add(testTimeout))
+	_, _, err := readAnswer(nc)
+	if late := time.Since(sentAt) - budget; err != nil || late > overloadLostAfter {
+		t.Errorf("answered %v after the client's time, error %v", late.Round(time.Millisecond), err)
+	}
+}
+
 func (f *overloadFleet) executionsOf(id uint64) []time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -87,3 +88,16 @@
 	})
 	return closed || err != nil
 }
+
+// SinceLastReceived returns for how long the peer has sent nothing, to the millisecond; 0 if that is not known.
+func (s Socket) SinceLastReceived() (since time.Duration) {
+	if s.raw == nil {
+		return 0
+	}
+	_ = s.raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -168,7 +168,7 @@
 	if n <= 0 || n > maxFrame {
 		return nil, fmt.Errorf("frame of %d bytes, limit %d", n, maxFrame)
 	}
-	m := &message{conn: c, receivedAt: time.Now()}
+	m := &message{conn: c, receivedAt: c.server.arrivalTime(c)}
 	if n > smallFrameBytes {
 		if m.reserved = int64(n) * heldPerFrameByte; !c.server.reserveRequest(c, m.reserved) {
 			m.reserved = 0
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -78,6 +78,7 @@
 	mu                sync.Mutex
 	conns             map[*conn]bool
 	blocked           map[*conn]bool // those whose reader waits
+	stall             stallClock
 
 	// The following fields belong to the event loop's goroutine.
 	now              router.Time
@@ -221,6 +222,7 @@
 
 // BeginTurn sets the time of a turn of the event loop and discards old RPC ids.
 func (s *Server) BeginTurn(now router.Time) {
+	s.stall.turn(time.Now())
 	if s.now = now; now-s.rotatedAt >= eventloop.FromDuration(s.limits.Load().IDRetention) {
 		s.recentIDs, s.rotatedAt = [2]map[uint64]*pending{{}, s.recentIDs[0]}, now
 	}
