Records of function names are bounded, whoever names new ones

Seen: eight connections of RPCs under new names add some 900 bytes a name and 370 names a second: 7.2 to 13.8 MB in 20 s, which goes on for ten minutes (router) and twenty (engine). Housekeeping, every 20 ms, walks all of them: 35 % of the processor time after 20 s.

Cause: both tables were bounded by time alone. Class: a record that each new name makes, without a bound on their number.

A load order for a name that is no longer known ends as not sent.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -122,6 +123,7 @@
 const (
 	retention     = router.Time(20 * time.Minute / eventloop.Unit)
 	pruneInterval = router.Time(10 * time.Second / eventloop.Unit) // between two calls of Engine.prune
+	maxFunctions  = 16 << 10                                       // known at once; more than the router has records of
 )
 
 type order struct {
@@ -231,7 +233,7 @@
 	e.now = now
 	e.counts.Turns++
 	e.runDeferred()
-	if now-e.lastPrune >= pruneInterval {
+	if now-e.lastPrune >= pruneInterval || len(e.functions) > maxFunctions && now > e.lastPrune {
 		e.lastPrune = now
 		e.prune()
 	}
@@ -250,11 +252,33 @@
 	maps.DeleteFunc(e.functions, func(id router.FunctionID, f knownFunction) bool {
 		return !inUse[id] && e.now-f.lastUsed >= retention
 	})
+	e.pruneExcessFunctions(inUse)
 	maps.DeleteFunc(e.workers, func(_ router.WorkerID, w *worker) bool {
 		return w.removedAt > 0 && e.now-w.removedAt >= retention
 	})
 }
 
+// pruneExcessFunctions drops the functions that have been unused for longest, if there are more than maxFunctions. The
+// router has forgotten them long before.
+func (e *Engine) pruneExcessFunctions(inUse map[router.FunctionID]bool) {
+	if len(e.functions) <= maxFunctions {
+		return
+	}
+	var unused []router.FunctionID
+	for id := range e.functions {
+		if !inUse[id] {
+			unused = append(unused, id)
+		}
+	}
+	slices.SortFunc(unused, func(a, b router.FunctionID) int {
+		return cmp.Or(cmp.Compare(e.functions[a].lastUsed, e.functions[b].lastUsed), cmp.Compare(a, b))
+	})
+	excess := len(e.functions) - maxFunctions + maxFunctions/4 // a quarter more, so that this is rare
+	for _, id := range unused[:min(excess, len(unused))] {
+		delete(e.functions, id)
+	}
+}
+
 // EndTurn ends a turn: it runs the timers that are due, then lets the router dispatch once.
 func (e *Engine) EndTurn() {
 	e.timers.Fire(e.now)
@@ -667,6 +691,11 @@
 	id := OrderID(e.lastID)
 	o := &order{worker: target, fn: fn, sentAt: e.now}
 	e.orders[id] = o
+	f, known := e.functions[fn]
+	if !known { // pruned: nobody has asked for it for long
+		e.deferred = append(e.deferred, func() { e.LoadOrderEnded(id, router.NotSent, 0) })
+		return
+	}
 	if n > 0 {
 		e.counts.Orders++
 		e.demand.OrderSent(fn, id)
@@ -676,7 +705,6 @@
 		return
 	}
 	e.timers.Set(&o.timeout, e.now+e.orderTimeout, func(router.Time) { e.LoadOrderEnded(id, router.TimedOut, 0) })
-	f := e.functions[fn]
 	f.lastUsed = e.now
 	e.functions[fn] = f
 	target.link.OrderLoad(id, f.name, f.spec, n, sendBy)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"mallowlanding/internal/nameid"
 	"mallowlanding/internal/routing"
 	"mallowlanding/internal/settingkeys"
 	"mallowlanding/router"
@@ -231,6 +232,33 @@
 	}
 }
 
+// TestNamesWithoutEndAreForgotten guards against memory that grows with each function that a client names; a load order
+// for a forgotten one ends as not sent.
+func TestNamesWithoutEndAreForgotten(t *testing.T) {
+	now := router.Time(1000)
+	e, _, _ := newTestEngine(now)
+	for n := range 3 * maxFunctions {
+		e.BeginTurn(now)
+		p := e.Submit(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 30000}, 0, fmt.Sprint("f", n), FunctionSpec{}, "", 100, false, nil, nil, ignoringClient{})
+		p.ClientLeft()
+		for id := range e.rpcs {
+			e.CallOutEnded(CallOutID(uint64(id)<<8), 1, router.Cancelled, router.WarmthUnknown, 0, nil, nil, nil)
+		}
+		e.EndTurn()
+		now += 10
+		if len(e.functions) > maxFunctions+1 {
+			t.Fatalf("%d functions are known", len(e.functions))
+		}
+	}
+	e.BeginTurn(now)
+	(*actions)(e).OrderLoad(1, nameid.Function("f0"), 1, math.MaxInt64)
+	e.EndTurn()
+	e.BeginTurn(now + 1)
+	if len(e.orders) > 0 || e.Counts().Orders > 0 {
+		t.Errorf("%d orders are open and %d were sent for a function that is not known", len(e.orders), e.Counts().Orders)
+	}
+}
+
 // TestOnGiveUpReportsReason checks that OnGiveUp gets the reason for which the router denied an RPC, so that the
 // operator of a front end sees which limit kept the RPC from being sent.
 func TestOnGiveUpReportsReason(t *testing.T) {
--- a/router/router.go
+++ b/router/router.go
@@ -106,6 +106,8 @@
 
 	// 10 minutes: a record that has been unused for so long affects no decision any more.
 	unusedRetention = 6e6
+	// Most functions with a record, besides those with RPCs or copies.
+	maxFunctions = 4096
 	// Share of memory that cannot be freed above which a worker has no room for a load.
 	fullPinnedShare  = 0.9
 	resubscribeToken = 1 // token of the timer that requests the worker list again
@@ -247,6 +249,7 @@
 	}
 	r.recentWork -= r.recentWork * float64(housekeepingInterval) / float64(functionWorkDecay)
 	r.dropUnused()
+	r.dropExcessFunctions()
 	r.orderRationAllows() // drops entries from before the window
 	r.countCopies()
 	r.logListExpiry()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -292,6 +292,43 @@
 	return nil
 }
 
+// TestNewNamesWithoutEndAreForgotten guards against memory and housekeeping that grow with each function that a client
+// names: the functions unused for longest lose their records, those with RPCs or copies don't.
+func TestNewNamesWithoutEndAreForgotten(t *testing.T) {
+	s := &scenarioRun{t: t, names: map[RPCID]string{}}
+	now := Time(1e6)
+	r := New(s, now, 1, Settings{"may.call-outs": 3., "functions.on-miss": "load", "functions.memory.0": 8000., "methods": 1.,
+		"methods.0.soft-deadline": 1e4, "methods.0.deadline": 1e8, "methods.0.effect": Idempotent, "functions.keep-alive": 1e7})
+	r.BeginWorkerList(now, ListChanges, 1)
+	r.AddListedWorker(now, 1, Ready, 0, 0, 0, 0, 1)
+	r.EndWorkerList(now)
+	const served = FunctionID(1)
+	s.names[RPCID(served)] = "served"
+	r.Submit(now, RPCID(served), 0, 0, served, 1e8, 0, 100, 2, 0, false)
+	r.Dispatch(now)
+	const names = 4 * maxFunctions
+	for fn := served + 1; fn <= names; fn++ {
+		p := r.Submit(now, RPCID(fn), 0, 0, fn, 1e8, 0, 100, 2, 0, false)
+		p.ClientLeft(now)
+		if now += 1; fn%1000 == 0 {
+			r.TimerFired(now, 0)
+			r.Dispatch(now)
+			if len(r.functions) > maxFunctions {
+				t.Fatalf("%d functions are known after housekeeping", len(r.functions))
+			}
+		}
+	}
+	if r.functions[served] == nil {
+		t.Error("a function with an RPC lost its record")
+	}
+	if r.functions[names] == nil || r.functions[served+1] != nil {
+		t.Error("functions are not forgotten in the order of their last use")
+	}
+	if want := 100 * float64(len(r.functions)); r.functionMemory != want {
+		t.Errorf("memory of all functions is %g, want %g", r.functionMemory, want)
+	}
+}
+
 // TestUnusedRecordsAreDropped: functions without RPCs and removed workers leave no record; functions with a queued RPC
 // or an open call-out keep theirs.
 func TestUnusedRecordsAreDropped(t *testing.T) {
