A client that keeps sending more than is read is closed after 2.5 s

Seen: a flooding client that has left stays connected for as long as its unread bytes last, up to 3.6 s after SIGTERM in one run: its end lies behind a closed TCP window, where the front end can't see it. It holds a descriptor, and with it a usual client's place.

Change: a connection that had to wait with input unread, without a moment in which all was read, for 2.5 s is closed. A client within the protocol has 32 RPCs open at most, which are read within 30 ms.

The test of unread RPCs now writes plain checks, 5,000 messages a connection with RPCs between and at the end: those of very many fields, which it used, end the connection since they are malformed. New flood: RPCs interrupted once they run.

--- a/cmd/mallowlanding/overload_floods_test.go
+++ b/cmd/mallowlanding/overload_floods_test.go
@@ -59,6 +59,7 @@
 			return appendCheck(b, "check", seq, 0)
 		})},
 		{name: "RPCs under new names, awaited", connections: 8, reading: readsItself, run: awaitedRPCs},
+		{name: "RPCs under new names, interrupted once they run", connections: 8, run: interruptRunningRPCs},
 		{name: "new connections closed at once", connections: 16, run: func(*overloadFleet, net.Conn) {}},
 		{name: "silent connections", connections: 400, reading: readsItself, run: awaitClose},
 		{name: "halves of large RPCs", connections: 110, reading: readsItself, run: halfRPC},
@@ -125,6 +126,29 @@
 	}
 }
 
+// interruptRunningRPCs has as many RPCs open as the protocol allows, and takes them back when they have begun.
+func interruptRunningRPCs(f *overloadFleet, nc net.Conn) {
+	const runningAfter = 4 * time.Millisecond
+	for seq := int32(1); ; {
+		var begin, end []byte
+		var ids []uint64
+		for range openRPCsOfProtocol {
+			id := f.newID()
+			begin = appendExecute(begin, executeRequest{seq: seq, method: "query", rpcID: id, function: id, budgetMS: 680, customer: "acme"})
+			end, ids = appendInterrupt(end, seq), append(ids, id)
+			seq++
+		}
+		if _, err := nc.Write(begin); err != nil || !f.sleep(runningAfter) {
+			return
+		}
+		_, err := nc.Write(end)
+		f.markGone(ids)
+		if err != nil {
+			return
+		}
+	}
+}
+
 func awaitClose(_ *overloadFleet, nc net.Conn) { discardAnswers(nc) }
 
 // largeRPC returns the frame of an RPC with the largest body.
--- a/cmd/mallowlanding/overload_test.go
+++ b/cmd/mallowlanding/overload_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"os"
+	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -13,13 +16,20 @@
 	maxMemoryShare  = 0.8  // of the memory limit
 )
 
-// Limits of the front end and length of a flood in the overload tests.
-const (
-	overloadMemoryMB = 64
-	overloadSockets  = 384
-	floodLength      = 2500 * time.Millisecond
+// Limits of the front end and length of a flood in the overload tests. For runs by hand the environment may set others.
+var (
+	overloadMemoryMB = overloadSetting("OVERLOAD_MEMORY_MB", 64)
+	overloadSockets  = overloadSetting("OVERLOAD_SOCKETS", 384)
+	floodLength      = time.Duration(overloadSetting("OVERLOAD_MS", 2500)) * time.Millisecond
 )
 
+func overloadSetting(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
 // TestFloodingClientDoesNotStarveOthers guards against one client's flood that delays the RPCs of others or grows memory.
 func TestFloodingClientDoesNotStarveOthers(t *testing.T) {
 	for _, kind := range floods() {
@@ -32,8 +42,8 @@
 			if s.startedLate > 0 {
 				t.Errorf("%d RPCs began over %v after their client had left, up to %v", s.startedLate, startAfterGone, s.latestStart)
 			}
-			if s.peakMB > maxMemoryShare*overloadMemoryMB {
-				t.Errorf("memory rose to %.1f MB, want at most %.1f MB", s.peakMB, maxMemoryShare*overloadMemoryMB)
+			if s.peakMB > maxMemoryShare*float64(overloadMemoryMB) {
+				t.Errorf("memory rose to %.1f MB, want at most %.1f MB", s.peakMB, maxMemoryShare*float64(overloadMemoryMB))
 			}
 		})
 	}
@@ -114,10 +124,12 @@
 	}
 }
 
-// TestUnreadRPCsOfClosedConnectionAreNotSent guards against RPCs that begin after their client has closed its connection.
+// TestUnreadRPCsOfClosedConnectionAreNotSent guards against RPCs that begin after their client has closed its connection,
+// with more behind it than the front end has read.
 func TestUnreadRPCsOfClosedConnectionAreNotSent(t *testing.T) {
-	const clients = 12
+	const clients, messages, rpcEvery = 6, 5_000, 97
 	f := newOverloadFleet(t, overloadMemoryMB, overloadSockets)
+	var all sync.WaitGroup
 	for range clients {
 		nc, err := net.Dial("tcp", f.address)
 		if err != nil {
@@ -125,20 +137,25 @@
 		}
 		var b []byte
 		var ids []uint64
-		for seq := range int32(2 * floodBurst) { // far more checks than a turn handles, with an RPC between
-			if seq%20 == 0 && len(ids) < openRPCsOfProtocol {
+		for seq := int32(1); seq <= messages; seq++ {
+			if seq%rpcEvery == 0 || seq > messages-openRPCsOfProtocol/2 {
 				ids = append(ids, f.newID())
-				b = appendExecute(b, executeRequest{seq: seq + 1, method: "query", rpcID: ids[len(ids)-1], function: 1, budgetMS: 680, customer: "acme"})
+				b = appendExecute(b, executeRequest{seq: seq, method: "query", rpcID: ids[len(ids)-1], function: 1, budgetMS: 30_000, customer: "acme"})
 			} else {
-				b = appendCheck(b, "check", seq+1, maxSkippedFields)
+				b = appendCheck(b, "check", seq, 0)
 			}
 		}
-		go func() { _, _ = nc.Write(b) }()
-		time.Sleep(20 * time.Millisecond)
-		nc.Close()
-		f.markGone(ids)
+		all.Go(func() {
+			go discardAnswers(nc)
+			_ = nc.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			_, _ = nc.Write(b)
+			_ = nc.(*net.TCPConn).CloseWrite()
+			f.markGone(ids)
+		})
+		defer nc.Close()
 	}
-	time.Sleep(time.Second)
+	all.Wait()
+	time.Sleep(4 * time.Second)
 	if n, longest := f.lateStarts(); n > 0 {
 		t.Errorf("%d RPCs began over %v after their client had left, up to %v", n, startAfterGone, longest)
 	}
--- a/internal/thrift/counts.go
+++ b/internal/thrift/counts.go
@@ -21,11 +21,13 @@
 	closedUnreadAnswers                   // answers that the client does not read fill the memory
 	closedWriteFailed                     // answers could not be written in time
 	closedStuckMessage                    // an incomplete message held memory that others needed
+	closedBacklog                         // a client that kept sending more than it may
 	closeReasons                          // their number
 )
 
 var closeReasonNames = [closeReasons]string{"by_client", "by_server", "idle", "first_message_timeout", "message_timeout",
-	"malformed", "invalid_rpcs", "sequence", "unread_answers", "write_failed", "stuck_message"}
+	"malformed", "invalid_rpcs", "sequence", "unread_answers", "write_failed", "stuck_message",
+	"backlog"}
 
 // String implements fmt.Stringer.
 func (r closeReason) String() string { return closeReasonNames[r] }
--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -29,6 +29,8 @@
 	conn      *conn
 	shortRead bool // the last read returned less than it could have
 	undrained bool // the event loop has not been told that all input has been read
+	// When the connection first had to wait with input unread; zero: all input has been read since.
+	backlogSince time.Time
 }
 
 func newReader(c *conn) *reader {
@@ -45,7 +47,7 @@
 // read reads from the connection. It tells the event loop first if that would block.
 func (r *reader) read(b []byte) (int, error) {
 	if r.undrained && !r.conn.socket.HasUnread() {
-		r.undrained = false
+		r.undrained, r.backlogSince = false, time.Time{}
 		r.conn.source.Add(&message{conn: r.conn, kind: inputDrainedMessage}, 0)
 	}
 	n, err := r.conn.netConn.Read(b)
@@ -56,7 +58,18 @@
 // markDrained notes in a message whether all that had been received has been read with it.
 func (r *reader) markDrained(m *message) {
 	m.drained = r.Buffered() == 0 && r.shortRead
-	r.undrained = !m.drained
+	if r.undrained = !m.drained; m.drained {
+		r.backlogSince = time.Time{}
+	}
+}
+
+// backlogged reports whether the client has kept sending more than it may for too long. Waited says that the connection
+// has just had to wait.
+func (r *reader) backlogged(waited bool) bool {
+	if waited && r.backlogSince.IsZero() {
+		r.backlogSince = time.Now()
+	}
+	return waited && time.Since(r.backlogSince) > maxBacklogTime
 }
 
 // serve runs a connection until its end.
@@ -107,9 +120,13 @@
 		return closedByServer, err
 	}
 	for {
-		if !c.awaitRoom() {
+		waited, ok := c.awaitRoom()
+		if !ok {
 			return closedByServer, net.ErrClosed
 		}
+		if r.backlogged(waited) {
+			return closedBacklog, fmt.Errorf("messages unread for %v", maxBacklogTime)
+		}
 		if reason, err := c.awaitMessage(r); err != nil {
 			return reason, err
 		}
@@ -213,17 +230,17 @@
 }
 
 // awaitRoom waits until the connection may read on: its waiting messages are below their limit, and it takes the answers
-// that it is sent. It returns false if the connection is to be closed.
-func (c *conn) awaitRoom() bool {
+// that it is sent. It reports whether it has waited, and whether the connection goes on.
+func (c *conn) awaitRoom() (waited, ok bool) {
 	if c.ended.Load() {
-		return false
+		return false, false
 	}
 	if !c.source.Full() && c.unsentBytes() <= maxUnsentWhileReading {
-		return true
+		return false, true
 	}
 	if c.socket.PeerClosed() {
 		c.closeFor(closedByClient)
-		return false
+		return false, false
 	}
 	c.server.setBlocked(c, true)
 	defer c.server.setBlocked(c, false)
@@ -231,10 +248,10 @@
 	for c.source.Full() || c.unsentBytes() > maxUnsentWhileReading {
 		<-c.resume
 		if c.ended.Load() {
-			return false
+			return true, false
 		}
 	}
-	return true
+	return true, true
 }
 
 // signalResume has the reader look again whether it may read on. Any goroutine may call it.
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -54,7 +54,8 @@
 	departureInterval     = 20 * time.Millisecond // between checks whether clients that are not read have left
 	minIDRetention        = 5 * time.Second       // the most is twice the retention
 	defaultHeldBytes      = 8 << 20
-	maxHeldPart           = 2 // an RPC whose client keeps sending is refused after 1/maxHeldPart of its time
+	maxBacklogTime        = 2500 * time.Millisecond // that a client may keep sending more than is read
+	maxHeldPart           = 2                       // an RPC whose client keeps sending is refused after 1/maxHeldPart of its time
 )
 
 // intakeLimits are the rates of messages. router.Time counts 100 us. A client has at most 32 RPCs open, and a front end
