A connection that a pause of the process let time out says nothing about its worker

Found while asking what a starved process concludes about others: a dial that runs out of its 250 ms while the process is paused ended as 'connection failed', so that the worker counted as dead, restarted and cold; a check that ended so counted as failed, and the worker was not asked again for 1 to 8 s.

Change: a dial that timed out across a pause (as the link already knows them, half the drain grace) ends as not sent; a check that was not sent is repeated after 20 ms, as one for which there was no descriptor.

--- a/internal/httplink/httplink.go
+++ b/internal/httplink/httplink.go
@@ -317,6 +317,7 @@
 var (
 	errCancelled = errors.New("given up before it began")
 	errExpired   = errors.New("too late to begin: nothing proves any more that the worker does not drain")
+	errPaused    = errors.New("the process was paused while the connection was made")
 )
 
 // send writes the message and reads the response. A message that was not written completely is sent again on a new
@@ -331,6 +332,9 @@
 			if err != nil && x.ctx.Err() != nil {
 				err = errors.Join(errCancelled, err)
 			}
+			if isTimeout(err) && x.pausedMeanwhile() {
+				err = errors.Join(errPaused, err)
+			}
 			if err != nil {
 				return resp, nil, false, errors.Join(httpconn.ErrNotSent, err)
 			}
@@ -373,8 +377,18 @@
 	if x.startBy == math.MaxInt64 {
 		return false
 	}
-	now := x.link.set.loop.Now()
-	return now > x.startBy || x.link.set.paused(now, x.options.MaxPause) || x.decidedAt < router.Time(x.link.set.resumedAt.Load())
+	return x.link.set.loop.Now() > x.startBy || x.pausedMeanwhile()
+}
+
+// pausedMeanwhile reports whether the process has been paused since the request was decided on.
+func (x *exchange) pausedMeanwhile() bool {
+	set := x.link.set
+	return set.paused(set.loop.Now(), x.options.MaxPause) || x.decidedAt < router.Time(set.resumedAt.Load())
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // stop closes the connection, which cancels the request at the worker. A request that has not been started is never
@@ -400,9 +414,8 @@
 
 // outcome returns what an error proves about the request.
 func (r result) outcome() router.Outcome {
-	var netErr net.Error
 	switch {
-	case errors.Is(r.err, errExpired):
+	case errors.Is(r.err, errExpired), errors.Is(r.err, errPaused): // says nothing about the worker
 		return router.NotSent
 	case r.local, errors.Is(r.err, httpconn.ErrNotSent) && errors.Is(r.err, syscall.ECONNRESET): // each connection was reset
 		return router.Full
@@ -410,7 +423,7 @@
 		return router.ConnectFailed
 	case errors.Is(r.err, httpconn.ErrBadResponse): // the connection is at fault, not the function; the request has run
 		return router.Reset
-	case errors.As(r.err, &netErr) && netErr.Timeout():
+	case isTimeout(r.err):
 		return router.TimedOut
 	case errors.Is(r.err, io.EOF), errors.Is(r.err, syscall.ECONNRESET), errors.Is(r.err, syscall.EPIPE):
 		return router.Reset
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 	requests chan string // method and path of each request; "" for a connection that ended without one
 	dialled  chan bool   // a connection is established and waits at the gate
 	gate     chan bool
+	dialErr  error // that Dial returns
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -84,6 +86,10 @@
 	conn, err := httpconn.Dial(context.WithoutCancel(ctx), address, timeout)
 	f.dialled <- true
 	<-f.gate
+	if f.dialErr != nil && err == nil {
+		conn.Close()
+		return nil, f.dialErr
+	}
 	return conn, err
 }
 
@@ -286,6 +292,32 @@
 	}
 }
 
+// TestDialTimeoutDuringPause guards against a worker that is taken for dead because this process was paused while it
+// connected.
+func TestDialTimeoutDuringPause(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		maxPause, want := testTimeout, router.ConnectFailed
+		if paused {
+			maxPause, want = 50*time.Millisecond, router.NotSent
+		}
+		f := newFixture(t)
+		f.dialErr = os.ErrDeadlineExceeded
+		f.inTurn(func() {
+			o := f.set.options
+			o.MaxPause = maxPause
+			f.set.UpdateSettings(o)
+			f.set.BeginTurn()
+		})
+		_, ended := f.startMessage(testTimeout)
+		<-f.dialled
+		if paused {
+			time.Sleep(2 * maxPause) // no turn calls BeginTurn meanwhile
+		}
+		f.gate <- true
+		f.expectOutcome(ended, want)
+	}
+}
+
 // TestNotSentAfterStartBy checks that a message is not sent if its connection is established after startBy, and is sent
 // if that happens earlier.
 func TestNotSentAfterStartBy(t *testing.T) {
--- a/router/evidence.go
+++ b/router/evidence.go
@@ -124,7 +124,7 @@
 		}
 		w.checkPause = 0
 		w.checkPassedAt = max(w.checkPassedAt, startedAt)
-	case o == Full: // this process had no free descriptor: the result says nothing about the worker
+	case o == Full || o == NotSent: // for want of descriptors, or of time: the result says nothing about the worker
 		w.nextCheck = r.now + housekeepingInterval
 	case r.listExpired():
 		if !w.checkFailed {
