A worker that started later at a listed worker's address takes its place

Cause: links and entries are keyed by name; nothing looked at who else is listed at an address, and a link with the same address was kept across a start. Class: a record keyed by name or address that outlives the process it meant.

Change: of two workers at one address the one that started later stays, in whatever order and event they are told; where the list gives no start nothing changes. A later start of the same worker ends its link, and with it idle connections and requests that have not begun. The list's handling moves out of platform.go into workerlist.go.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,6 @@
 	"mallowlanding/internal/eventloop"
 	"mallowlanding/internal/feed"
 	"mallowlanding/internal/httplink"
-	"mallowlanding/internal/nameid"
 	"mallowlanding/internal/settingkeys"
 	"mallowlanding/internal/thrift"
 	"mallowlanding/router"
@@ -64,8 +63,8 @@
 
 	// The following fields belong to the event loop's goroutine.
 	zones, kinds []string
-	addresses    map[string]string // addresses of ready workers, by name
-	listAsOf     router.Time       // when the list was last known to be complete and correct; 0: never
+	listed       listedWorkers
+	listAsOf     router.Time // when the list was last known to be complete and correct; 0: never
 	// From expiresBy on the front end counts as informed of what the journal service knew at expirySince, unless a
 	// later request is answered before (see feed.ExpiryHandler). expiresBy is 0 if no expiry is pending.
 	expirySince, expiresBy router.Time
@@ -111,7 +110,7 @@
 		return nil, nil, err
 	}
 	f := &FrontEnd{path: path, env: env, log: log.With().Str("front_end", c.Name).Logger(), loop: eventloop.NewLoop(),
-		lameDuckTime: lameDuckTime, addresses: map[string]string{}, zones: c.Zones, kinds: c.Kinds}
+		lameDuckTime: lameDuckTime, listed: newListedWorkers(), zones: c.Zones, kinds: c.Kinds}
 	f.loop.SetMinInterval(c.minTurnInterval())
 	f.epoch = f.loop.Now() - router.Time(time.Now().UnixMicro()/100)
 	f.engine = engine.New(engine.Options{Settings: c.RouterSettings, Seed: c.Seed, Now: f.loop.Now(), AnswerMargin: eventloop.FromDuration(answerMargin),
@@ -346,56 +345,3 @@
 	}
 	f.engine.ConfirmWorkerList(asOf)
 }
-
-func (f *FrontEnd) applyEvent(e feed.Event) {
-	f.engine.BeginWorkerList(e.Update, e.Pos)
-	listed := map[string]bool{}
-	for _, w := range e.Workers {
-		if err := f.applyWorker(w); err != nil {
-			f.log.Error().Err(err).Msg("worker of the list skipped")
-		}
-		listed[w.Name] = true
-	}
-	f.engine.EndWorkerList()
-	if e.Update == router.ListComplete {
-		for name := range f.addresses {
-			if !listed[name] {
-				f.links.Remove(name)
-				delete(f.addresses, name)
-			}
-		}
-	}
-}
-
-func (f *FrontEnd) applyWorker(w feed.Worker) error {
-	started := router.Time(0)
-	if w.StartedMs > 0 {
-		started = max(1, router.Time(w.StartedMs*10)+f.epoch)
-	}
-	if err := f.engine.AddListedWorker(w.Name, w.State, started, router.ZoneID(indexOf(f.zones, w.Zone)), router.CellID(w.Cell),
-		router.KindID(indexOf(f.kinds, w.Kind))); err != nil {
-		return err
-	}
-	address := w.Address
-	if address == "" {
-		address = f.addresses[w.Name]
-	}
-	if w.State != router.Ready || address == "" { // nothing more is sent to it
-		f.links.Remove(w.Name)
-		delete(f.addresses, w.Name)
-		return nil
-	}
-	f.addresses[w.Name] = address
-	f.links.Add(w.Name, address, nameid.Worker(w.Name))
-	return nil
-}
-
-// indexOf returns the index of a name in a list, or the length of the list if it is missing.
-func indexOf(list []string, name string) int {
-	for i, entry := range list {
-		if entry == name {
-			return i
-		}
-	}
-	return len(list)
-}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -33,7 +33,8 @@
 // '#' begins a comment. A step that expects something waits for it.
 //
 //	worker W [as V]           start worker W; as V: stop worker V and listen on its address
-//	tell [W=STATE ...]        add an event to the journal; events before 'start' are in the configuration
+//	tell [W=STATE[@MS] ...]   add an event to the journal, with the Unix time at which W started; events before 'start'
+//	                          are in the configuration
 //	fleet N at W STATE        add an event with N more workers at W's address
 //	knows N                   expect that the router knows N ready workers
 //	confirmed                 expect that the router has evidence by the worker list that none of its workers drains
@@ -464,7 +465,14 @@
 	list := []any{}
 	for _, word := range words {
 		name, state, _ := strings.Cut(word, "=")
-		list = append(list, s.workerEntry(name, s.workers[name], state))
+		state, started, _ := strings.Cut(state, "@")
+		entry := s.workerEntry(name, s.workers[name], state)
+		if started != "" {
+			ms, err := strconv.Atoi(started)
+			s.must(err)
+			entry["startedAtMs"] = ms
+		}
+		list = append(list, entry)
 	}
 	s.addEvent(list)
 }
@@ -481,7 +489,7 @@
 }
 
 // workerEntry returns a worker's entry of an event.
-func (s *runner) workerEntry(name string, w *worker, state string) any {
+func (s *runner) workerEntry(name string, w *worker, state string) map[string]any {
 	return map[string]any{"instanceId": name, "hostPort": w.listener.Addr().String(), "zone": "a", "machineType": "std", "cell": 1,
 		"lifecycle": state, "weight": 1, "startedAtMs": 0}
 }
