KServe: bodies take memory as they are received, headers, streams and connections are bounded

Change: body.read grows as bytes are received, under one account of 16 largest bodies; past it a request is refused with 503 and Retry-After. Headers have 16 KiB, bodies a minute, idle connections five minutes, a gRPC connection 128 open requests, a listener 4,096 connections (those beyond wait in its backlog). TLS stays outermost: http.Server knows a TLS connection by type; TestTLS failed while the limit was around it.

--- a/internal/kserve/grpc.go
+++ b/internal/kserve/grpc.go
@@ -12,10 +12,12 @@
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
+	"golang.org/x/net/netutil"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	grpcpeer "google.golang.org/grpc/peer"
 	"google.golang.org/grpc/stats"
@@ -36,19 +38,28 @@
 	server *Server
 }
 
+// maxStreams is the number of requests that a gRPC connection may have open; further ones wait at the client.
+const maxStreams = 128
+
 // newGRPC returns a gRPC server. It rejects a message longer than MaxBodyBytes by its length prefix, before reading
 // it. A method's own bound is checked by ModelInfer, since the method is known only once the message is read.
 func newGRPC(s *Server, opts ...grpc.ServerOption) *grpc.Server {
-	g := grpc.NewServer(append(opts, grpc.MaxRecvMsgSize(int(s.options.MaxBodyBytes)), grpc.StatsHandler(connStats{s}))...)
+	g := grpc.NewServer(append(opts, grpc.MaxRecvMsgSize(int(s.options.MaxBodyBytes)), grpc.StatsHandler(connStats{s}),
+		grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(headerTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTimeout}))...)
 	oip.RegisterGRPCInferenceServiceServer(g, &grpcService{server: s})
 	return g
 }
 
 // ServeGRPC accepts gRPC connections until Close or Drain.
-func (s *Server) ServeGRPC(l net.Listener) error { return s.grpc[0].Serve(l) }
+func (s *Server) ServeGRPC(l net.Listener) error {
+	return s.grpc[0].Serve(netutil.LimitListener(l, maxConnections))
+}
 
 // ServeGRPCTLS is ServeGRPC with TLS, using Options.Certs.
-func (s *Server) ServeGRPCTLS(l net.Listener) error { return s.grpc[1].Serve(l) }
+func (s *Server) ServeGRPCTLS(l net.Listener) error {
+	return s.grpc[1].Serve(netutil.LimitListener(l, maxConnections))
+}
 
 // connStats is a stats handler that attaches a clientConn to each connection, and closes its counterpart at the
 // dispatcher when the connection ends.
--- a/internal/kserve/http.go
+++ b/internal/kserve/http.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -24,6 +24,7 @@
 	"mallowlanding/internal/dispatch"
 	"mallowlanding/internal/eventloop"
 	"mallowlanding/internal/jsonrpc"
+	"mallowlanding/internal/memlimit"
 	"mallowlanding/internal/tensor"
 	"mallowlanding/router"
 )
@@ -62,6 +63,7 @@
 	dispatcher *dispatch.Dispatcher
 	models     atomic.Pointer[map[string][]*Model] // by name: the model's versions, in the order of the settings
 	http       http.Server
+	bodies     *memlimit.Account
 	grpc       []*grpc.Server // without TLS and, if there are certificates, with TLS
 
 	mu    sync.Mutex
@@ -78,7 +80,8 @@
 
 // New returns a server that submits RPCs to d, which runs on loop.
 func New(loop *eventloop.Loop, d *dispatch.Dispatcher, o Options) *Server {
-	s := &Server{options: o, loop: loop, dispatcher: d, conns: map[net.Conn]*clientConn{}}
+	s := &Server{options: o, loop: loop, dispatcher: d, conns: map[net.Conn]*clientConn{},
+		bodies: memlimit.NewAccount(heldBodies * o.MaxBodyBytes)}
 	s.UpdateSettings(o.Models)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v2/health/live", func(w http.ResponseWriter, _ *http.Request) { writeResponse(w, 200, []byte(`{"live":true}`)) })
@@ -98,8 +101,8 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, http.StatusNotFound, fmt.Sprintf("no such path, or not by %s: %.80s", r.Method, r.URL.Path))
 	})
-	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ConnContext: s.connContext,
-		ConnState: s.connState}
+	s.http = http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: s.connContext, ConnState: s.connState}
 	s.grpc = []*grpc.Server{newGRPC(s)}
 	if o.Certs != nil {
 		s.grpc = append(s.grpc, newGRPC(s, grpc.Creds(credentials.NewTLS(o.Certs.ServerConfig("h2")))))
@@ -119,11 +122,21 @@
 // versions returns the versions of a model.
 func (s *Server) versions(model string) []*Model { return (*s.models.Load())[model] }
 
-// headerTimeout bounds the time in which a client must send its request headers.
-const headerTimeout = 10 * time.Second
+// Limits of a client's connection.
+const (
+	headerTimeout  = 10 * time.Second // until the headers of a request are complete
+	bodyTimeout    = time.Minute      // from its headers to the end of its body
+	idleTimeout    = 5 * time.Minute  // between two requests
+	maxHeaderBytes = 16 << 10
+	maxConnections = 4096 // of one listener; further ones wait in its backlog
+)
 
 // Serve accepts HTTP connections until Close or Drain.
 func (s *Server) Serve(l net.Listener) error {
+	return s.serveHTTP(netutil.LimitListener(l, maxConnections))
+}
+
+func (s *Server) serveHTTP(l net.Listener) error {
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -132,7 +145,8 @@
 
 // ServeTLS is Serve with TLS, using Options.Certs.
 func (s *Server) ServeTLS(l net.Listener) error {
-	return s.Serve(tls.NewListener(l, s.options.Certs.ServerConfig("http/1.1")))
+	// The limit is below TLS: http.Server recognizes a TLS connection by its type.
+	return s.serveHTTP(tls.NewListener(netutil.LimitListener(l, maxConnections), s.options.Certs.ServerConfig("http/1.1")))
 }
 
 // Drain stops accepting connections, and returns when all requests received are answered or the context ends.
@@ -404,16 +418,6 @@
 	}
 }
 
-// readBody reads a body; if its length is known (not negative), into a single allocation of that size.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // parseMillis parses a header's time in milliseconds.
 func parseMillis(text string) (float64, error) {
 	ms, err := strconv.ParseFloat(text, 64)
@@ -423,6 +427,21 @@
 	return ms, nil
 }
 
+// writeBodyError answers a request whose body could not be read.
+func writeBodyError(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, errNoMemory):
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", "1")
+		status = http.StatusServiceUnavailable
+	case errors.As(err, &tooLarge):
+		status = http.StatusRequestEntityTooLarge
+	}
+	writeError(w, status, "body: "+err.Error())
+}
+
 func (s *Server) handleInfer(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
 	m := s.pathModel(w, r)
@@ -463,16 +482,15 @@
 		}
 		jsonLen = int(n)
 	}
-	body, err := readBody(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
-	if err != nil {
-		status := http.StatusBadRequest
-		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		writeError(w, status, "body: "+err.Error())
+	_ = http.NewResponseController(w).SetReadDeadline(received.Add(bodyTimeout))
+	body := &body{account: s.bodies}
+	defer body.release()
+	if err := body.read(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength); err != nil {
+		writeBodyError(w, err)
 		return
 	}
-	in, err := parseInfer(body, jsonLen)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	in, err := parseInfer(body.bytes, jsonLen)
 	if err == nil {
 		err = m.validate(&in)
 	}
