JSON-RPC: cancels and status requests are bounded like RPCs

Change: conn.post is the one way from a connection to the loop; it takes a slot whatever the kind of message. Slots are given back when the loop handles the event, never when an RPC ends, so a cancel does not wait for the RPC that it ends, and there is no deadlock.

--- a/internal/clients/conn.go
+++ b/internal/clients/conn.go
@@ -39,7 +39,7 @@
 	useHeaders  atomic.Bool
 	permissions access.Permissions
 	peer        admission.PeerID
-	submitSlots chan struct{} // limits the RPCs posted to the event loop that it has not begun to handle
+	eventSlots  chan struct{} // limits the events posted to the event loop that it has not begun to handle
 	batch       *batch        // the batch being read; nil: none
 
 	mu      sync.Mutex
@@ -72,7 +72,7 @@
 }
 
 func newConn(s *Server, nc net.Conn, peer admission.PeerID, permissions access.Permissions) *conn {
-	c := &conn{server: s, nc: nc, socket: sockio.NewSocket(nc), submitSlots: make(chan struct{}, s.opts.Limits.OpenRPCs), byID: map[string]*pending{}, permissions: permissions}
+	c := &conn{server: s, nc: nc, socket: sockio.NewSocket(nc), eventSlots: make(chan struct{}, s.opts.Limits.OpenRPCs), byID: map[string]*pending{}, permissions: permissions}
 	c.peer = peer
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -353,7 +353,7 @@
 		return
 	}
 	if method == "rpc.status" && c.server.opts.Status != nil {
-		c.server.loop.Post(func() {
+		c.post(p, func() {
 			p.send(true, func(out []byte, id jsonrpc.ID) []byte { return jsonrpc.AppendResult(out, id, c.server.opts.Status()) })
 		})
 		return
@@ -378,12 +378,18 @@
 		return
 	}
 	received := time.Now()
-	c.submitSlots <- struct{}{}
+	c.post(p, func() { c.submit(p, params, received) })
+}
+
+// post has the event loop handle a message of the client. It waits while too many events of the connection have not been
+// handled, whatever their kind. If the loop has ended, the message is denied.
+func (c *conn) post(p *pending, handle func()) {
+	c.eventSlots <- struct{}{}
 	if !c.server.loop.Post(func() {
-		<-c.submitSlots
-		c.submit(p, params, received)
+		<-c.eventSlots
+		handle()
 	}) {
-		<-c.submitSlots
+		<-c.eventSlots
 		p.sendError(Denied, "denied: the front end has stopped")
 	}
 }
@@ -440,7 +446,7 @@
 		p.sendError(jsonrpc.InvalidParams, `params: "id" must be the id of an RPC: a string, a number or null`)
 		return
 	}
-	c.server.loop.Post(func() {
+	c.post(p, func() {
 		target := c.byID[string(id)]
 		p.send(true, func(out []byte, cancelID jsonrpc.ID) []byte {
 			return jsonrpc.AppendResult(out, cancelID, strconv.AppendBool(nil, target != nil))
