--- a/cmd/mallowlanding/overload_fleet_test.go
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -39,8 +41,7 @@
 	discovery *discovery
 	servers   []*http.Server
 	address   string
-	process   *exec.Cmd
-	log       *bytes.Buffer
+	config    string
 	stopAll   chan struct{}
 	running   sync.WaitGroup
 	lastID    atomic.Uint64
@@ -51,6 +52,12 @@
 	rpcs       []*usualRPC
 	goneAt     map[uint64]time.Time // when a client took back an RPC, or closed its connection, by the RPC's id
 	peakMB     float64
+	process    *exec.Cmd // replaced by restart
+	log        *bytes.Buffer
+
+	sideEffecting     map[uint64]bool // ids of the usual clients' side-effecting RPCs
+	unexpectedAnswers int             // answers to no open RPC
+	unexpectedExits   int             // of the process
 }
 
 // usualRPC is one RPC of a usual client.
@@ -65,7 +72,8 @@
 
 func newOverloadFleet(t *testing.T, memoryMB, sockets int) *overloadFleet {
 	t.Helper()
-	f := &overloadFleet{t: t, discovery: newDiscovery(t), stopAll: make(chan struct{}), executions: map[uint64][]time.Time{}, goneAt: map[uint64]time.Time{}}
+	f := &overloadFleet{t: t, discovery: newDiscovery(t), stopAll: make(chan struct{}), executions: map[uint64][]time.Time{}, goneAt: map[uint64]time.Time{},
+		sideEffecting: map[uint64]bool{}}
 	f.workTime.Store(int64(overloadWorkTime))
 	f.lastID.Store(uint64(time.Now().UnixNano()))
 	f.discovery.publish(f.startWorkers(), true)
@@ -77,12 +85,11 @@
 	config := strings.NewReplacer("$LISTEN", f.address, "$JOURNAL", f.discovery.address, `"$KNOWN"`, string(f.discovery.initialEvents()),
 		`"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, memoryMB), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets),
 		`"mayLoad":false`, `"mayLoad":true`, `"balancers":1`, `"balancers":1,"tickNs":2000000`).Replace(string(text))
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+	f.config = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(f.config, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	f.process, f.log = startPlatform(t, path)
-	connect(t, f.address).Close()
+	f.launch()
 	f.running.Go(f.watchMemory)
 	t.Cleanup(f.end)
 	return f
@@ -99,6 +106,38 @@
 	}
 }
 
+// launch starts the front end and waits until it listens.
+func (f *overloadFleet) launch() {
+	process, log := startPlatform(f.t, f.config)
+	f.mu.Lock()
+	f.process, f.log = process, log
+	f.mu.Unlock()
+	connect(f.t, f.address).Close()
+}
+
+// signal sends a signal to the front end.
+func (f *overloadFleet) signal(signal syscall.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.process.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		f.t.Error(err)
+	}
+}
+
+// restart kills the front end, which may have ended after a SIGTERM, and starts it again.
+func (f *overloadFleet) restart() {
+	f.mu.Lock()
+	process := f.process
+	f.mu.Unlock()
+	_ = process.Process.Kill()
+	if err := process.Wait(); err != nil && process.ProcessState.ExitCode() > 0 {
+		f.mu.Lock()
+		f.unexpectedExits++
+		f.mu.Unlock()
+	}
+	f.launch()
+}
+
 func tail(text string, length int) string { return text[max(0, len(text)-length):] }
 
 // startWorkers starts the workers and returns their entries in the worker list.
@@ -141,7 +180,10 @@
 // watchMemory records the most memory that the front end's process has used.
 func (f *overloadFleet) watchMemory() {
 	for f.sleep(memoryWatchInterval) {
-		now := anonymousMB(f.process.Process.Pid)
+		f.mu.Lock()
+		process := f.process
+		f.mu.Unlock()
+		now := anonymousMB(process.Process.Pid)
 		f.mu.Lock()
 		f.peakMB = max(f.peakMB, now)
 		f.mu.Unlock()
@@ -208,10 +250,11 @@
 		c.send(nc, rpc)
 	}
 	for running := true; running; {
-		rpc := &usualRPC{sentAt: time.Now(), request: executeRequest{method: []string{"query", "query", "book"}[int(c.seq)%3], rpcID: f.newID(),
+		rpc := &usualRPC{sentAt: time.Now(), request: executeRequest{method: []string{"query", "once", "query", "book"}[int(c.seq)%4], rpcID: f.newID(),
 			function: uint64(c.number + 1), budgetMS: int(overloadBudget / time.Millisecond), customer: "acme", bodyLength: 200}}
 		f.mu.Lock()
 		f.rpcs = append(f.rpcs, rpc)
+		f.sideEffecting[rpc.request.rpcID] = rpc.request.method == "once"
 		f.mu.Unlock()
 		c.send(nc, rpc)
 		select {
@@ -250,8 +293,11 @@
 			return
 		}
 		c.fleet.mu.Lock()
-		rpc := c.open[seq]
-		rpc.answered, rpc.took, rpc.kind = true, time.Since(rpc.sentAt), kind
+		if rpc := c.open[seq]; rpc == nil || rpc.answered {
+			c.fleet.unexpectedAnswers++
+		} else {
+			rpc.answered, rpc.took, rpc.kind = true, time.Since(rpc.sentAt), kind
+		}
 		c.fleet.mu.Unlock()
 	}
 }
--- a/cmd/mallowlanding/overload_test.go
+++ b/cmd/mallowlanding/overload_test.go
@@ -179,9 +179,7 @@
 		t.Fatalf("got answer %d, error %v", kind, err)
 	}
 	f.workTime.Store(int64(hang))
-	if err := f.process.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	f.signal(syscall.SIGSTOP)
 	time.Sleep(50 * time.Millisecond)
 	request.seq, request.rpcID = 2, f.newID()
 	sentAt := time.Now()
@@ -189,9 +187,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(stopped)
-	if err := f.process.Process.Signal(syscall.SIGCONT); err != nil {
-		t.Fatal(err)
-	}
+	f.signal(syscall.SIGCONT)
 	_ = nc.SetReadDeadline(time.Now().Add(testTimeout))
 	_, _, err := readAnswer(nc)
 	if late := time.Since(sentAt) - budget; err != nil || late > overloadLostAfter {
