--- a/cmd/mallowlanding/overload_fleet_test.go
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -54,6 +54,7 @@
 	peakMB     float64
 	process    *exec.Cmd // replaced by restart
 	log        *bytes.Buffer
+	killedAt   time.Time
 
 	sideEffecting     map[uint64]bool // ids of the usual clients' side-effecting RPCs
 	unexpectedAnswers int             // answers to no open RPC
@@ -128,6 +129,7 @@
 func (f *overloadFleet) restart() {
 	f.mu.Lock()
 	process := f.process
+	f.killedAt = time.Now()
 	f.mu.Unlock()
 	_ = process.Process.Kill()
 	if err := process.Wait(); err != nil && process.ProcessState.ExitCode() > 0 {
@@ -302,10 +304,14 @@
 	}
 }
 
-// collectCrossed notes the RPCs without an answer that were sent shortly before the connection was closed.
+// collectCrossed notes the RPCs without an answer that were sent shortly before the connection was closed, unless it
+// ended with the process: then they may have run.
 func (c *usualClient) collectCrossed(closedAt time.Time) {
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
+	if closedAt.Sub(c.fleet.killedAt) < crossingTime {
+		return
+	}
 	for _, rpc := range c.open {
 		if !rpc.answered && !rpc.resent && closedAt.Sub(rpc.sentAt) < crossingTime {
 			c.crossed = append(c.crossed, rpc)
