Control service: streams and headers of a connection are bounded

Now 128 and 16 KiB; a follower has one request open. The service's socket is for its own user alone, so no test of its own; its tests pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,6 +44,8 @@
 	snapshotThreshold   = 4096                   // log entries between snapshots
 	maxCachedVersions   = 16                     // versions whose parsed resources are cached
 	maxMessageBytes     = 64 << 20               // bytes of one gRPC message, thus of one configuration
+	maxHeaderBytes      = 16 << 10               // bytes of one gRPC request's headers
+	maxStreams          = 128                    // gRPC requests open on one connection; a follower has one
 )
 
 // Network connects to the peer socket of another instance. Tests inject one that can be partitioned.
@@ -269,7 +271,7 @@
 	if err != nil {
 		return err
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes),
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second}))
 	wire.RegisterConfigurationServer(server, s)
 	var background sync.WaitGroup
