Messages are handled after the events that came before them; after a stall readers go first

Two orders that the intake of messages got wrong, found by the soak and by the conversations under load:

- A message read while a turn had already taken its events was handled in that turn, before events posted earlier.
At a start the first RPC could come before the worker list; the router sends such an RPC in its first turn only if it has time for a load, so it was denied after half of its time.
Change: the loop tells its handler before it takes a turn's events, and only messages added until then are handled.
Change: in the first turn after a stall the loop sleeps for 1 ms before it handles messages; the readers become ready first.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -110,6 +110,13 @@
 	NextDue() (router.Time, bool) // when a turn is needed even if no event arrives; false: never
 }
 
+// EventsHandler is a Handler that gets events from elsewhere, too.
+type EventsHandler interface {
+	// BeforeEvents is called before a turn takes its events: what came elsewhere until then is not older than events that
+	// the turn leaves to the next one.
+	BeforeEvents()
+}
+
 // Loop runs the turns of a Handler by the real clock.
 type Loop struct {
 	start       time.Time
@@ -195,6 +202,9 @@
 			time.Sleep(wait)
 		}
 		lastTurn = time.Now()
+		if before, ok := h.(EventsHandler); ok {
+			before.BeforeEvents()
+		}
 		l.mu.Lock()
 		events, queuedSince := l.queue, l.queuedSince
 		l.queue = reusable[:0]
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -52,7 +52,9 @@
 	mu      sync.Mutex
 	active  []*Source[T] // with waiting messages, in round-robin order
 	total   bucket
-	waiting int // messages
+	waiting int    // messages
+	added   uint64 // messages added so far
+	marked  uint64 // messages that had been added at the last call of Mark
 }
 
 // Source holds the waiting messages of one connection.
@@ -71,6 +73,7 @@
 type entry[T any] struct {
 	message T
 	cost    int
+	number  uint64 // in the order in which messages were added to the scheduler
 }
 
 // New makes a scheduler without sources. It calls wake, on any goroutine, when a message waits and none did before.
@@ -109,7 +112,8 @@
 func (c *Source[T]) Add(message T, cost int) {
 	s := c.scheduler
 	s.mu.Lock()
-	c.waiting = append(c.waiting, entry[T]{message, cost})
+	s.added++
+	c.waiting = append(c.waiting, entry[T]{message, cost, s.added})
 	c.cost += cost
 	s.waiting++
 	wasIdle := len(s.active) == 0
@@ -143,7 +147,15 @@
 	return len(s.active) > 0
 }
 
-// Take handles waiting messages, one of each source in turn, as far as the token buckets allow. The handler runs without
+// Mark has the next Take handle the messages added until now and no later ones. An event loop that calls it before it
+// takes the events of a turn handles no message before an event that came earlier.
+func (s *Scheduler[T]) Mark() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marked = s.added
+}
+
+// Take handles marked messages, one of each source in turn, as far as the token buckets allow. The handler runs without
 // a lock and may call Clear.
 func (s *Scheduler[T]) Take(now router.Time, handle func(message T)) {
 	s.mu.Lock()
@@ -157,7 +169,7 @@
 			c.active = false
 			continue
 		}
-		if c.own.tokens <= 0 {
+		if c.own.tokens <= 0 || c.waiting[0].number > s.marked {
 			s.active = append(s.active, c)
 			skipped++
 			continue
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"slices"
 	"testing"
 
 	"mallowlanding/router"
@@ -41,6 +42,7 @@
 			usual.Add(flooding, 1)
 			sentAt = now
 		}
+		s.Mark()
 		s.Take(now, func(number int) {
 			if handled[number]++; number == flooding {
 				slowest = max(slowest, now-sentAt)
@@ -69,7 +71,10 @@
 	s := New[int](testLimits, func() {})
 	c := s.NewSource(func() {})
 	handled := 0
-	take := func(now router.Time) { s.Take(now, func(int) { handled++ }) }
+	take := func(now router.Time) {
+		s.Mark()
+		s.Take(now, func(int) { handled++ })
+	}
 	fill(c, 0)
 	take(1)
 	if handled < 1 || handled > int(testLimits.NewSourceBurst)+1 {
@@ -101,6 +106,7 @@
 	if woken != 1 || told != 0 {
 		t.Fatalf("woken %d times, told %d times", woken, told)
 	}
+	s.Mark()
 	s.Take(1, func(int) {})
 	if told != 1 || c.Full() {
 		t.Errorf("told %d times of room, full: %v", told, c.Full())
@@ -109,6 +115,7 @@
 	if dropped := c.Clear(); len(dropped) == 0 || len(dropped) > added {
 		t.Errorf("%d messages were dropped", len(dropped))
 	}
+	s.Mark()
 	s.Take(100, func(int) { t.Error("a dropped message was handled") })
 	if s.Waiting() {
 		t.Error("messages wait after all have been dropped")
@@ -130,3 +137,22 @@
 		t.Error("a further source may not have one message")
 	}
 }
+
+// TestTakeHandlesMarkedMessages checks that a message added after Mark waits for the next one.
+func TestTakeHandlesMarkedMessages(t *testing.T) {
+	s := New[int](testLimits, func() {})
+	a, b := s.NewSource(func() {}), s.NewSource(func() {})
+	var handled []int
+	take := func() { s.Take(1, func(number int) { handled = append(handled, number) }) }
+	a.Add(1, 1)
+	s.Mark()
+	a.Add(2, 1)
+	b.Add(3, 1)
+	if take(); !slices.Equal(handled, []int{1}) {
+		t.Errorf("messages %v were handled, want 1", handled)
+	}
+	s.Mark()
+	if take(); len(handled) != 3 || s.Waiting() {
+		t.Errorf("messages %v were handled, want all", handled)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -76,6 +76,9 @@
 	frontEnd *FrontEnd
 }
 
+// BeforeEvents implements eventloop.EventsHandler.
+func (h loopHandler) BeforeEvents() { h.frontEnd.server.MarkMessages() }
+
 // BeginTurn implements eventloop.Handler.
 func (h loopHandler) BeginTurn(now router.Time) {
 	h.frontEnd.dispatcher.BeginTurn(now)
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -39,20 +39,20 @@
 }
 
 const (
-	maxOpenRPCs           = 32                    // on one connection; set by the protocol
-	firstMessageTimeout   = 2 * time.Second       // until a first full message; bad clients must be closed within 3 s
-	messageTimeout        = 2 * time.Second       // from a message's first byte to its last
-	idleTimeout           = 6 * time.Second       // without an open RPC; clients close after 4 s themselves
-	writeTimeout          = 2 * time.Second       // for a write of queued answers, before the connection is closed
-	maxUnsentBytes        = 1 << 20               // of answers to a slow reader, before its connection is closed
-	maxUnsentWhileReading = 64 << 10              // of answers to a client of which no more messages are read
-	maxInvalidRPCs        = 3                     // in a row, before the connection is closed
-	invalidRPCPause       = 50 * time.Millisecond // before the next message is read after an invalid RPC
-	pollInterval          = 5 * time.Millisecond  // between checks whether the client left; after a failed accept
-	partialMessageTimeout = 50 * time.Millisecond // ordinary messages are complete by then; others may be closed
-	closeTimeout          = 20 * time.Millisecond // to wait for the descriptor of a connection closed to make room
-	departureInterval     = 20 * time.Millisecond // between checks whether clients that are not read have left
-	minIDRetention        = 5 * time.Second       // the most is twice the retention
+	maxOpenRPCs           = 32                     // on one connection; set by the protocol
+	firstMessageTimeout   = 2 * time.Second        // until a first full message; bad clients must be closed within 3 s
+	messageTimeout        = 2 * time.Second        // from a message's first byte to its last
+	idleTimeout           = 6 * time.Second        // without an open RPC; clients close after 4 s themselves
+	writeTimeout          = 2 * time.Second        // for a write of queued answers, before the connection is closed
+	maxUnsentBytes        = 1 << 20                // of answers to a slow reader, before its connection is closed
+	maxUnsentWhileReading = 64 << 10               // of answers to a client of which no more messages are read
+	maxInvalidRPCs        = 3                      // in a row, before the connection is closed
+	invalidRPCPause       = 50 * time.Millisecond  // before the next message is read after an invalid RPC
+	pollInterval          = 5 * time.Millisecond   // between checks whether the client left; after a failed accept
+	partialMessageTimeout = 50 * time.Millisecond  // ordinary messages are complete by then; others may be closed
+	closeTimeout          = 20 * time.Millisecond  // to wait for the descriptor of a connection closed to make room
+	departureInterval     = 20 * time.Millisecond  // between checks whether clients that are not read have left
+	minIDRetention        = 5 * time.Second        // the most is twice the retention
 	defaultHeldBytes      = 8 << 20
 	maxBacklogTime        = 2500 * time.Millisecond // that a client may keep sending more than is read
 	maxHeldPart           = 2                       // an RPC whose client keeps sending is refused after 1/maxHeldPart of its time
@@ -229,13 +229,21 @@
 	}
 }
 
+// MarkMessages has the next HandleMessages handle the messages that have been read until now.
+func (s *Server) MarkMessages() { s.intake.Mark() }
+
 // HandleMessages handles clients' messages. It must be called in each turn of the event loop, after its other events.
+// After a stall of the process it first lets the readers run, so that no RPC begins whose interrupt came meanwhile.
 func (s *Server) HandleMessages() {
 	now := time.Now()
 	if now.Sub(s.departuresSeenAt) >= departureInterval {
 		s.departuresSeenAt = now
 		s.closeDeparted()
 	}
+	if s.stall.endedNow() {
+		time.Sleep(readAfterStall)
+		s.intake.Mark()
+	}
 	s.intake.Take(s.now, func(m *message) { m.conn.handle(m) })
 	s.holding = slices.DeleteFunc(s.holding, func(c *conn) bool {
 		c.refuseHeld(now)
--- a/internal/thrift/server_test.go
+++ b/internal/thrift/server_test.go
@@ -26,6 +26,9 @@
 	server *Server
 }
 
+// BeforeEvents implements eventloop.EventsHandler.
+func (h loopHandler) BeforeEvents() { h.server.MarkMessages() }
+
 // BeginTurn implements eventloop.Handler.
 func (h loopHandler) BeginTurn(now router.Time) { h.server.BeginTurn(now); h.Engine.BeginTurn(now) }
 
--- a/internal/thrift/stall.go
+++ b/internal/thrift/stall.go
@@ -8,6 +8,8 @@
 const (
 	stallGap    = 50 * time.Millisecond  // a longer time without a turn of the event loop is a stall of the process
 	stallMemory = 200 * time.Millisecond // messages that are read this soon after a stall may have come during it
+	// For the readers to run. They become ready before the sleeping event loop does.
+	readAfterStall = time.Millisecond
 )
 
 // stallClock knows whether the process was stalled: stopped by a signal, or without a processor. Any goroutine may call
@@ -24,6 +26,9 @@
 	}
 }
 
+// endedNow reports whether the present turn is the first one after a stall.
+func (s *stallClock) endedNow() bool { return s.stallEnd.Load() == s.lastTurn.Load() }
+
 // since returns how long ago the stall began during which something that is read now may have come; 0: there was none.
 func (s *stallClock) since(now time.Time) time.Duration {
 	at, last := now.UnixNano(), s.lastTurn.Load()
