Connections with incomplete messages make room before idle ones that were served

Cause: at the limit closeOneIdle looked for idle connections first, and for those with an incomplete message only if there was none. Usual clients are idle between two RPCs; a slow writer never is.

Change: the order is: nothing received, first message incomplete for over 50 ms, a later one, idle. An idle connection makes room only after 200 ms without a message or answer; if nothing else may be closed, the new connection is refused.

--- a/cmd/mallowlanding/overload_fleet_test.go
+++ b/cmd/mallowlanding/overload_fleet_test.go
@@ -252,6 +252,10 @@
 		c.send(nc, rpc)
 	}
 	for running := true; running; {
+		if c.openCount() >= openRPCsOfProtocol {
+			running = f.sleep(overloadUsualInterval)
+			continue
+		}
 		rpc := &usualRPC{sentAt: time.Now(), request: executeRequest{method: []string{"query", "once", "query", "book"}[int(c.seq)%4], rpcID: f.newID(),
 			function: uint64(c.number + 1), budgetMS: int(overloadBudget / time.Millisecond), customer: "acme", bodyLength: 200}}
 		f.mu.Lock()
@@ -278,6 +282,18 @@
 	}
 }
 
+// openCount returns the number of RPCs that the client still waits for on its connection.
+func (c *usualClient) openCount() (n int) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	for _, rpc := range c.open {
+		if !rpc.answered {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *usualClient) send(nc net.Conn, rpc *usualRPC) {
 	c.seq++
 	rpc.request.seq = c.seq
--- a/internal/thrift/conn.go
+++ b/internal/thrift/conn.go
@@ -62,14 +62,8 @@
 	return c
 }
 
-// isIdle reports whether the connection has no open RPC, no unsent answer and no message being read. A message that has
-// been incomplete for longer than partialTimeout does not count, if that is above 0.
-func (c *conn) isIdle(partialTimeout time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isIdleLocked(partialTimeout)
-}
-
+// isIdleLocked reports whether the connection has no open RPC, no unsent answer and no message being read. A message that
+// has been incomplete for longer than partialTimeout does not count, if that is above 0. The caller holds mu.
 func (c *conn) isIdleLocked(partialTimeout time.Duration) bool {
 	return !c.closing && c.openRPCs == 0 && c.unhandled == 0 && len(c.unsent) == 0 && !c.writing &&
 		(c.readingSince.IsZero() || c.isStuckLocked(partialTimeout))
@@ -137,12 +131,35 @@
 	c.reservedReading = n
 }
 
-// closesBefore reports whether c is closed before other to make room, where neither has an open RPC.
-func (c *conn) closesBefore(other *conn) bool {
-	if a, b := c.sentMessage.Load(), other.sentMessage.Load(); a != b {
-		return !a
+// closeRank is the order in which connections are closed to make room.
+type closeRank int
+
+const (
+	silentRank   closeRank = iota // nothing was received
+	stuckNewRank                  // its first message has been incomplete for long
+	stuckRank                     // a later message has
+	idleRank                      // it is idle
+	notClosable                   // it has an open RPC, or was active a short time ago
+)
+
+// closeRank returns the rank of the connection; an idle one has to be idle for minIdle.
+func (c *conn) closeRank(minIdle time.Duration) closeRank {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reading, sent := !c.readingSince.IsZero(), c.sentMessage.Load()
+	switch {
+	case !c.isIdleLocked(partialMessageTimeout):
+		return notClosable
+	case reading && sent:
+		return stuckRank
+	case reading:
+		return stuckNewRank
+	case !sent:
+		return silentRank
+	case time.Now().UnixNano()-c.lastActive.Load() < int64(minIdle):
+		return notClosable
 	}
-	return c.lastActive.Load() < other.lastActive.Load()
+	return idleRank
 }
 
 // closeFor closes the connection for a reason. Any goroutine may call it.
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -50,6 +50,7 @@
 	invalidRPCPause       = 50 * time.Millisecond  // before the next message is read after an invalid RPC
 	pollInterval          = 5 * time.Millisecond   // between checks whether the client left; after a failed accept
 	partialMessageTimeout = 50 * time.Millisecond  // ordinary messages are complete by then; others may be closed
+	minIdleToClose        = 200 * time.Millisecond // of a client that was served, before its connection makes room
 	closeTimeout          = 20 * time.Millisecond  // to wait for the descriptor of a connection closed to make room
 	departureInterval     = 20 * time.Millisecond  // between checks whether clients that are not read have left
 	minIDRetention        = 5 * time.Second        // the most is twice the retention
@@ -110,7 +111,7 @@
 // ones are closed at once.
 func (s *Server) UpdateSettings(limits Limits) {
 	s.setLimits(limits)
-	for left := int(s.openDescriptors.Load()); left > limits.MaxConnections && s.closeOneIdle(); left-- {
+	for left := int(s.openDescriptors.Load()); left > limits.MaxConnections && s.closeOneIdle(0); left-- {
 	}
 }
 
@@ -123,7 +124,7 @@
 		}
 		if err != nil { // out of descriptors, or the client closed before accept
 			s.options.Log.Warn().Err(err).Msg("accept failed")
-			s.closeOneIdle()
+			s.closeOneIdle(0)
 			time.Sleep(pollInterval)
 			continue
 		}
@@ -158,7 +159,7 @@
 	if !full() {
 		return true
 	}
-	if s.closeDeparted() == 0 && !s.closeOneIdle() {
+	if s.closeDeparted() == 0 && !s.closeOneIdle(minIdleToClose) {
 		return false
 	}
 	for until := time.Now().Add(closeTimeout); full() && time.Now().Before(until); {
@@ -167,32 +168,38 @@
 	return !full()
 }
 
-// closeOneIdle closes an idle connection and reports whether there was one. It prefers connections that have never sent
-// a complete message, the oldest first, then the one that has been idle for longest, then one with a message that has
-// been incomplete for long. This protects ordinary clients from clients that open hundreds of connections and send
-// nothing.
-func (s *Server) closeOneIdle() bool {
+// closeOneIdle closes a connection without an open RPC and reports whether there was one. It prefers connections on which
+// nothing was received, then those with a message that has been incomplete for long, then the one that has been idle for
+// longest, for minIdle at least. This protects ordinary clients from clients that open hundreds of connections.
+func (s *Server) closeOneIdle(minIdle time.Duration) bool {
 	keep := map[*conn]bool{} // received a message meanwhile
-	for partialTimeout := time.Duration(0); partialTimeout <= partialMessageTimeout; partialTimeout += partialMessageTimeout {
-		for {
-			s.mu.Lock()
-			var victim *conn
-			for c := range s.conns {
-				if !keep[c] && c.isIdle(partialTimeout) && (victim == nil || c.closesBefore(victim)) {
-					victim = c
-				}
-			}
-			s.mu.Unlock()
-			if victim == nil {
-				break
-			}
-			if victim.closeIfIdle(partialTimeout) {
-				return true
-			}
-			keep[victim] = true
+	for {
+		victim := s.nextToClose(keep, minIdle)
+		if victim == nil {
+			return false
+		}
+		if victim.closeIfIdle(partialMessageTimeout) {
+			return true
+		}
+		keep[victim] = true
+	}
+}
+
+// nextToClose returns the connection that is closed first to make room, or nil if none may be closed.
+func (s *Server) nextToClose(keep map[*conn]bool, minIdle time.Duration) (victim *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := notClosable
+	for c := range s.conns {
+		if keep[c] {
+			continue
+		}
+		rank := c.closeRank(minIdle)
+		if rank < first || rank == first && rank != notClosable && c.lastActive.Load() < victim.lastActive.Load() {
+			victim, first = c, rank
 		}
 	}
-	return false
+	return victim
 }
 
 // CloseIdle closes all idle connections and returns how many are left.
