--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,56 +151,6 @@
 	l.Close()
 }
 
-// makeRoom reports whether one more connection may be accepted. At the limit it first closes those whose clients have
-// left, or else an idle one, and waits for a descriptor to be closed, since a connection counts until then.
-func (s *Server) makeRoom() bool {
-	full := func() bool { return int(s.openDescriptors.Load()) >= s.limits.Load().MaxConnections }
-	if !full() {
-		return true
-	}
-	if s.closeDeparted() == 0 && !s.closeOneIdle(minIdleToClose) {
-		return false
-	}
-	for until := time.Now().Add(closeTimeout); full() && time.Now().Before(until); {
-		runtime.Gosched() // lets the reader of the closed connection end
-	}
-	return !full()
-}
-
-// closeOneIdle closes a connection without an open RPC and reports whether there was one. It prefers connections on which
-// nothing was received, then those with a message that has been incomplete for long, then the one that has been idle for
-// longest, for minIdle at least. This protects ordinary clients from clients that open hundreds of connections.
-func (s *Server) closeOneIdle(minIdle time.Duration) bool {
-	keep := map[*conn]bool{} // received a message meanwhile
-	for {
-		victim := s.nextToClose(keep, minIdle)
-		if victim == nil {
-			return false
-		}
-		if victim.closeIfIdle(partialMessageTimeout) {
-			return true
-		}
-		keep[victim] = true
-	}
-}
-
-// nextToClose returns the connection that is closed first to make room, or nil if none may be closed.
-func (s *Server) nextToClose(keep map[*conn]bool, minIdle time.Duration) (victim *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	first := notClosable
-	for c := range s.conns {
-		if keep[c] {
-			continue
-		}
-		rank := c.closeRank(minIdle)
-		if rank < first || rank == first && rank != notClosable && c.lastActive.Load() < victim.lastActive.Load() {
-			victim, first = c, rank
-		}
-	}
-	return victim
-}
-
 // CloseIdle closes all idle connections and returns how many are left.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
@@ -262,93 +211,6 @@
 // NextDue returns when the server needs a turn even if no event arrives; false: never.
 func (s *Server) NextDue() (router.Time, bool) { return s.now + intakeInterval, s.intake.Waiting() }
 
-// setBlocked records whether a connection's reader waits, so that it does not see whether its client leaves.
-func (s *Server) setBlocked(c *conn, blocked bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if blocked {
-		s.blocked[c] = true
-	} else {
-		delete(s.blocked, c)
-	}
-}
-
-// closeDeparted closes the connections that are not read and whose clients have left, and returns their number. Their
-// readers end their RPCs.
-func (s *Server) closeDeparted() (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.blocked {
-		if !c.ended.Load() && c.socket.PeerClosed() {
-			c.closeFor(closedByClient)
-			n++
-		}
-	}
-	return n
-}
-
-// reserveRequest reserves memory for a message that a connection begins to read. If there is not enough, messages that
-// have been incomplete for long make room.
-func (s *Server) reserveRequest(c *conn, bytes int64) bool {
-	if !s.requests.Reserve(bytes) && (!s.closeStuckReader() || !s.requests.Reserve(bytes)) {
-		return false
-	}
-	c.setReserved(bytes)
-	return true
-}
-
-// closeStuckReader closes the connection with the most memory reserved for a message that has been incomplete for long,
-// and waits a short time until the memory is released. It returns false if there is none.
-func (s *Server) closeStuckReader() bool {
-	var victim *conn
-	most := int64(0)
-	s.mu.Lock()
-	for c := range s.conns {
-		c.mu.Lock()
-		if c.reservedReading > most && c.isStuckLocked(partialMessageTimeout) {
-			victim, most = c, c.reservedReading
-		}
-		c.mu.Unlock()
-	}
-	s.mu.Unlock()
-	if victim == nil {
-		return false
-	}
-	before := s.requests.Usage().Used
-	victim.closeFor(closedStuckMessage)
-	for until := time.Now().Add(closeTimeout); s.requests.Usage().Used >= before && time.Now().Before(until); {
-		runtime.Gosched()
-	}
-	return true
-}
-
-// reserveAnswer reserves memory for an answer to a connection. If there is not enough, the connections that hold the
-// most unread answers are closed. It returns false if that is this one. It must be called in a turn of the event loop.
-func (s *Server) reserveAnswer(c *conn, bytes int64) bool {
-	for !s.answers.Reserve(bytes) {
-		victim := s.mostUnread()
-		if victim == nil || victim == c {
-			return false
-		}
-		victim.end(closedUnreadAnswers)
-		victim.dropUnsent()
-	}
-	return true
-}
-
-// mostUnread returns the connection that holds the most unread answers, or nil if none holds any.
-func (s *Server) mostUnread() (most *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	bytes := int64(0)
-	for c := range s.conns {
-		if n := c.unreadAnswers(); n > bytes {
-			most, bytes = c, n
-		}
-	}
-	return most
-}
-
 // FlushTurn sends the answers of a turn. It must be called at the end of the turn.
 func (s *Server) FlushTurn() {
 	for i, c := range s.toFlush {
@@ -359,54 +221,5 @@
 	s.toFlush = s.toFlush[:0]
 }
 
-// acceptID reports whether an RPC with this id is accepted on a connection. The id of an open or recent RPC is
-// rejected, unless that RPC is open for another client with fewer ok answers and has had no effect, and is then evicted.
-// This protects ordinary clients from one that sends their ids before they do.
-func (s *Server) acceptID(rpcID uint64, c *conn) bool {
-	for _, ids := range s.recentIDs {
-		if p, seen := ids[rpcID]; p != nil && p.conn.okAnswers < c.okAnswers && p.conn != c && p.mayBeEvicted() {
-			p.evict()
-			s.forgetID(rpcID)
-		} else if seen {
-			return false
-		}
-	}
-	return true
-}
-
-// rpcFinished records that an RPC has finished, whether it was answered, or its client left or took it back. The id of
-// an RPC that may have run stays known for a while; any other may come again.
-func (s *Server) rpcFinished(p *pending) {
-	if !p.wasSent() {
-		s.forgetRPC(p)
-		return
-	}
-	for _, ids := range s.recentIDs {
-		if ids[p.rpcID] == p {
-			ids[p.rpcID] = nil
-		}
-	}
-}
-
-// forgetRPC makes the id of an RPC acceptable again.
-func (s *Server) forgetRPC(p *pending) {
-	for _, ids := range s.recentIDs {
-		if ids[p.rpcID] == p {
-			delete(ids, p.rpcID)
-		}
-	}
-}
-
-// forgetID makes an id acceptable again.
-func (s *Server) forgetID(rpcID uint64) {
-	delete(s.recentIDs[0], rpcID)
-	delete(s.recentIDs[1], rpcID)
-}
-
-func parseID(rpcID string) uint64 {
-	n, _ := strconv.ParseUint(rpcID, 16, 64) // parseParams has checked for 16 hex digits
-	return n
-}
-
 // isTimeout reports whether a read or write has passed its deadline.
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
