Bytes received before a read deadline are read after it

What a starved process concludes about clients: after a stop of over 2 s (or two with a moment between) the read deadline of a message was over before its reader ran, and Go reports a time-out without looking at the bytes that had come. The connection of a client that was never at fault was closed with its RPCs.

Change: a read that timed out looks for received bytes; if there are any, the message has 50 ms more, once.

Test: TestBytesReceivedInTimeAreRead; without the change the byte that had come is not read ('error ... i/o timeout').

--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -29,6 +29,7 @@
 	conn      *conn
 	shortRead bool // the last read returned less than it could have
 	undrained bool // the event loop has not been told that all input has been read
+	extended  bool // the deadline of the message being read has been extended
 	// When the connection first had to wait with input unread; zero: all input has been read since.
 	backlogSince time.Time
 }
@@ -51,10 +52,23 @@
 		r.conn.source.Add(&message{conn: r.conn, kind: inputDrainedMessage}, 0)
 	}
 	n, err := r.conn.netConn.Read(b)
+	if isTimeout(err) && r.extendDeadline() {
+		n, err = r.conn.netConn.Read(b)
+	}
 	r.shortRead = n < len(b)
 	return n, err
 }
 
+// extendDeadline gives a message a little more time, once, if a part of it had been received in time: a stopped process
+// finds the deadline over and the bytes unread.
+func (r *reader) extendDeadline() bool {
+	if r.extended || !r.conn.socket.HasUnread() {
+		return false
+	}
+	r.extended = true
+	return r.conn.netConn.SetReadDeadline(time.Now().Add(partialMessageTimeout)) == nil
+}
+
 // markDrained notes in a message whether all that had been received has been read with it.
 func (r *reader) markDrained(m *message) {
 	m.drained = r.Buffered() == 0 && r.shortRead
@@ -136,6 +150,7 @@
 		m, err := c.readMessage(r)
 		if err != nil {
 			return readFailure(err, closedMessageTimeout), err
+		r.extended = false
 		}
 		c.sentMessage.Store(true)
 		c.lastActive.Store(time.Now().UnixNano())
--- a/internal/thrift/server_test.go
+++ b/internal/thrift/server_test.go
@@ -262,3 +262,34 @@
 		t.Error("the latest connection was not accepted")
 	}
 }
+
+// TestBytesReceivedInTimeAreRead guards against a connection that is closed for a time in which the process was stopped:
+// bytes that were received before the deadline are read after it.
+func TestBytesReceivedInTimeAreRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client := dial(t, l)
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	r := newReader(newConn(&Server{options: Options{Log: zerolog.Nop()}}, nc))
+	for _, sent := range []bool{true, false} {
+		r.extended = false
+		if sent {
+			if _, err := client.Write([]byte{7}); err != nil { // on loopback it has arrived when Write returns
+				t.Fatal(err)
+			}
+		}
+		if err := nc.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := r.ReadByte(); (err == nil) != sent || !sent && !isTimeout(err) {
+			t.Errorf("bytes received: %v, error %v", sent, err)
+		}
+	}
+}
