Fair turns of clients count cost, and a stop of the process is no client's backlog

Trace: 'messages unread for 2.5s' on the usual clients' addresses.

Cause: turns went round by message, so a large RPC weighed as much as a small one, and past 256 waiting messages every source could have one, whoever filled the queue: the RPCs that came during a stop took a round of some 50 ms each. The stops counted as backlog, too.

Change: a source's turn lasts for a quantum of cost (8), and goes on in the next call if the total ran out within it; while many messages wait, a source may have as many as its unspent tokens earn it. A backlog counts from the end of the last stall.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 package intake
 
 import (
+	"slices"
 	"sync"
 
 	"mallowlanding/router"
@@ -22,7 +23,8 @@
 	NewSourceBurst float64 // the same for a new source
 	TotalRate      float64 // the same for all sources together
 	TotalBurst     float64
-	TotalMessages  int // waiting messages of all sources, beyond which each may have only one
+	TotalMessages  int // waiting messages of all sources, beyond which each may have few; see maxWaiting
+	Quantum        int // cost that one source may spend before the next one's turn
 }
 
 // bytesPerCost is the size that costs as much as a message itself.
@@ -99,12 +101,14 @@
 }
 
 // maxWaiting returns how many messages of a source may wait: no more than its token bucket allows to be handled soon,
-// and at least one. The caller holds mu.
+// and at least one. While many messages wait, a source that has spent little may have those of one turn, and one that is
+// new or has spent its tokens a single one. The caller holds mu.
 func (s *Scheduler[T]) maxWaiting(c *Source[T]) int {
+	most := min(s.limits.SourceMessages, int(c.own.tokens))
 	if s.waiting >= s.limits.TotalMessages {
-		return 1
+		most = min(s.limits.Quantum, int(float64(s.limits.Quantum)*c.own.tokens/s.limits.SourceBurst))
 	}
-	return max(1, min(s.limits.SourceMessages, int(c.own.tokens)))
+	return max(1, most)
 }
 
 // Add appends a message. The caller has seen to it that the source is not full; the end of a connection may always be
@@ -155,8 +159,8 @@
 	s.marked = s.added
 }
 
-// Take handles marked messages, one of each source in turn, as far as the token buckets allow. The handler runs without
-// a lock and may call Clear.
+// Take handles marked messages, of each source in turn for the cost of a quantum, as far as the token buckets allow. The
+// handler runs without a lock and may call Clear.
 func (s *Scheduler[T]) Take(now router.Time, handle func(message T)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,27 +173,40 @@
 			c.active = false
 			continue
 		}
-		if c.own.tokens <= 0 || c.waiting[0].number > s.marked {
+		if !s.mayTake(c) {
 			s.active = append(s.active, c)
 			skipped++
 			continue
 		}
 		skipped = 0
-		message, hasRoom := s.next(c)
-		s.mu.Unlock()
-		handle(message)
-		if hasRoom {
-			c.onSpace()
+		left := s.limits.Quantum
+		for left > 0 && s.mayTake(c) {
+			message, cost, hasRoom := s.next(c)
+			left -= cost
+			s.mu.Unlock()
+			handle(message)
+			if hasRoom {
+				c.onSpace()
+			}
+			s.mu.Lock()
 		}
-		s.mu.Lock()
-		if c.active = len(c.waiting) > 0; c.active {
+		c.active = len(c.waiting) > 0
+		switch {
+		case c.active && left > 0 && s.total.tokens <= 0: // its turn goes on in the next call
+			s.active = slices.Insert(s.active, 0, c)
+		case c.active:
 			s.active = append(s.active, c)
 		}
 	}
 }
 
-// next takes the first message of a source, and reports whether its reader is to be told that there is room.
-func (s *Scheduler[T]) next(c *Source[T]) (message T, hasRoom bool) {
+// mayTake reports whether the first message of a source may be handled now. The caller holds mu.
+func (s *Scheduler[T]) mayTake(c *Source[T]) bool {
+	return len(c.waiting) > 0 && c.waiting[0].number <= s.marked && c.own.tokens > 0 && s.total.tokens > 0
+}
+
+// next takes the first message of a source, with its cost, and reports whether its reader is to be told that there is room.
+func (s *Scheduler[T]) next(c *Source[T]) (message T, cost int, hasRoom bool) {
 	first := c.waiting[0]
 	c.waiting[0] = entry[T]{}
 	c.waiting = c.waiting[1:]
@@ -201,5 +218,5 @@
 	if hasRoom {
 		c.full = false
 	}
-	return first.message, hasRoom
+	return first.message, first.cost, hasRoom
 }
--- a/internal/thrift/reader.go
+++ b/internal/thrift/reader.go
@@ -80,10 +80,16 @@
 // backlogged reports whether the client has kept sending more than it may for too long. Waited says that the connection
 // has just had to wait.
 func (r *reader) backlogged(waited bool) bool {
-	if waited && r.backlogSince.IsZero() {
+	if !waited {
+		return false
+	}
+	if r.backlogSince.IsZero() {
 		r.backlogSince = time.Now()
 	}
-	return waited && time.Since(r.backlogSince) > maxBacklogTime
+	if stallEnd := r.conn.server.stall.end(); stallEnd.After(r.backlogSince) { // nothing was read meanwhile
+		r.backlogSince = stallEnd
+	}
+	return time.Since(r.backlogSince) > maxBacklogTime
 }
 
 // serve runs a connection until its end.
@@ -144,13 +150,13 @@
 		if reason, err := c.awaitMessage(r); err != nil {
 			return reason, err
 		}
+		r.extended = false
 		if !c.beginMessage() {
 			return closedByServer, net.ErrClosed
 		}
 		m, err := c.readMessage(r)
 		if err != nil {
 			return readFailure(err, closedMessageTimeout), err
-		r.extended = false
 		}
 		c.sentMessage.Store(true)
 		c.lastActive.Store(time.Now().UnixNano())
--- a/internal/thrift/server.go
+++ b/internal/thrift/server.go
@@ -61,7 +61,7 @@
 // intakeLimits are the rates of messages. router.Time counts 100 us. A client has at most 32 RPCs open, and a front end
 // serves far fewer RPCs a second than all connections together may send messages.
 var intakeLimits = intake.Limits{SourceMessages: 32, SourceCost: 64, SourceRate: 0.2, SourceBurst: 64, NewSourceBurst: 8, TotalRate: 1.6, TotalBurst: 128,
-	TotalMessages: 256}
+	TotalMessages: 256, Quantum: 8}
 
 // intakeInterval is the time after which messages that wait for the token buckets are looked at again.
 const intakeInterval = router.Time(time.Millisecond / eventloop.Unit)
--- a/internal/thrift/stall.go
+++ b/internal/thrift/stall.go
@@ -26,6 +26,9 @@
 	}
 }
 
+// end returns when the last stall ended.
+func (s *stallClock) end() time.Time { return time.Unix(0, s.stallEnd.Load()) }
+
 // endedNow reports whether the present turn is the first one after a stall.
 func (s *stallClock) endedNow() bool { return s.stallEnd.Load() == s.lastTurn.Load() }
 
