--- a/cmd/mallowlanding/overload_floods_test.go
+++ b/cmd/mallowlanding/overload_floods_test.go
@@ -35,6 +35,7 @@
 
 // floods returns all kinds of clients that take too much.
 func floods() []flood {
+	third := overloadSockets/3 - 2*overloadUsualClients // of the descriptors, which the protocol leaves to clients
 	return []flood{
 		{name: "checks", connections: 6, run: repeatBatch(func(_ *overloadFleet, b []byte, seq int32) []byte {
 			return appendCheck(b, "check", seq, 0)
@@ -62,9 +63,9 @@
 		{name: "RPCs under new names, interrupted once they run", connections: 8, run: interruptRunningRPCs},
 		{name: "new connections closed at once", connections: 16, run: func(*overloadFleet, net.Conn) {}},
 		{name: "silent connections", connections: 400, reading: readsItself, run: awaitClose},
-		{name: "halves of large RPCs", connections: 110, reading: readsItself, run: halfRPC},
-		{name: "slowly written large RPCs", connections: 110, run: slowRPC},
-		{name: "bursts of large RPCs", connections: 100, run: burst},
+		{name: "halves of large RPCs", connections: third, reading: readsItself, run: halfRPC},
+		{name: "slowly written large RPCs", connections: third, run: slowRPC},
+		{name: "bursts of large RPCs", connections: third, run: burst},
 		{name: "RPCs left unread by a closing client", connections: 8, run: sendAndLeave},
 	}
 }
