Flood test of JSON-RPC sends the answers of each turn, as a front end does

Trace: the reader waits for its answers to be sent (conn.read), the writer for answers (conn.write). The test's event loop queued answers in a turn and never called Server.Flush, which every front end does at the end of a turn; with more than AnswerBytes queued both wait.

A fault of the test alone.

--- a/internal/clients/flood_test.go
+++ b/internal/clients/flood_test.go
@@ -55,7 +55,7 @@
 				t.Errorf("%d bytes were read while the event loop handled nothing", n)
 			}
 			stop()
-			runLoop(loop)
+			runLoop(loop, s)
 			if err := <-served; err != nil {
 				t.Error(err)
 			}
@@ -64,15 +64,15 @@
 }
 
 // runLoop handles the events of a loop and ends it.
-func runLoop(loop *eventloop.Loop) {
+func runLoop(loop *eventloop.Loop, s *Server) {
 	ctx, stop := context.WithCancel(context.Background())
 	time.AfterFunc(100*time.Millisecond, stop)
-	loop.Run(ctx, idleHandler{})
+	loop.Run(ctx, flushingHandler{s})
 }
 
-// idleHandler is an event loop handler that does nothing.
-type idleHandler struct{}
+// flushingHandler is an event loop handler that only sends the answers of a turn.
+type flushingHandler struct{ server *Server }
 
-func (idleHandler) BeginTurn(router.Time)        {}
-func (idleHandler) EndTurn()                     {}
-func (idleHandler) NextDue() (router.Time, bool) { return 0, false }
+func (flushingHandler) BeginTurn(router.Time)        {}
+func (h flushingHandler) EndTurn()                   { h.server.Flush() }
+func (flushingHandler) NextDue() (router.Time, bool) { return 0, false }
