--- a/internal/thrift/server_test.go
+++ b/internal/thrift/server_test.go
@@ -80,6 +80,23 @@
 	return nc
 }
 
+// connectedPair returns the client's and the server's end of a connection that no server reads.
+func connectedPair(t *testing.T) (client, accepted net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client = dial(t, l)
+	accepted, err = l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted
+}
+
 // isClosed reports whether the server has closed a client's connection.
 func isClosed(nc net.Conn) bool {
 	_ = nc.SetReadDeadline(time.Now().Add(time.Millisecond))
@@ -194,17 +211,7 @@
 // idle.
 func TestUnreadBytesPreventClose(t *testing.T) {
 	s := &Server{options: Options{Log: zerolog.Nop()}, conns: map[*conn]bool{}}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client := dial(t, l)
-	nc, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
+	client, nc := connectedPair(t)
 	c := newConn(s, nc)                                // no reader runs
 	if _, err := client.Write([]byte{0}); err != nil { // on loopback it has arrived when Write returns
 		t.Fatal(err)
@@ -266,17 +273,7 @@
 // TestBytesReceivedInTimeAreRead guards against a connection that is closed for a time in which the process was stopped:
 // bytes that were received before the deadline are read after it.
 func TestBytesReceivedInTimeAreRead(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client := dial(t, l)
-	nc, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
+	client, nc := connectedPair(t)
 	r := newReader(newConn(&Server{options: Options{Log: zerolog.Nop()}}, nc))
 	for _, sent := range []bool{true, false} {
 		r.extended = false
