--- a/review/_cases2/config.go
+++ b/review/_cases2/config.go
@@ -139,7 +139,7 @@
 func playStream(d *day) {
 	f := &fleet{day: d, workers: 2, fronts: 1, service: service, work: `<work method="query" mean-ms="20" spread="0"/>
   <work method="book" mean-ms="20" spread="0" effect="tokened" window-ms="3000"/>
-  <work method="hold" mean-ms="20" spread="0" effect="side-effecting"/>`}
+  <work method="hold" mean-ms="800" spread="0" effect="side-effecting"/>`}
 	c := &controls{day: d, rollout: `<rollout stages="1" hold-ms="100"/>`}
 	c.start()
 	var armed atomic.Int64
@@ -167,16 +167,22 @@
 		if d.trouble {
 			armed.Store(int64(len(text)) / 2)
 		}
-		began := time.Now()
+		client, err := newCaller(f.socket(0))
+		d.must(err, "connect")
+		d.note("client sends hold")
+		open := client.send("hold", map[string]any{"function": "line-7"})
+		time.Sleep(100 * time.Millisecond)
 		if _, err := c.config("submit", file); err != nil {
 			d.fail("submit: %v", err)
 		}
 		time.Sleep(2 * time.Second)
-		d.note("round %d took %v", round, time.Since(began))
 		if f.front_[0].ended() {
 			d.note("output of front-0: %s", tail(f.front_[0].log))
 			d.broke("front-0 crashed")
+			d.broke("the RPC that it had taken: %v", <-open)
 			return
 		}
+		d.note("answer: %v", <-open)
+		client.nc.Close()
 	}
 }
