--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -23,6 +24,10 @@
 	trouble bool   // false with TROUBLE=0
 	began   time.Time
 
+	ctx      context.Context // ends with the day
+	end      func()
+	commands sync.WaitGroup // those that run runs
+
 	mu     sync.Mutex
 	record *os.File
 	procs  []*proc
@@ -83,12 +88,17 @@
 	p.cmd = exec.Command(d.bin, args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	d.must(p.cmd.Start(), "start "+name)
-	out.Close()
-	d.note("started %s: %s", name, strings.ReplaceAll(strings.Join(args, " "), d.dir, "DIR"))
+	d.note("start %s: %s", name, strings.ReplaceAll(strings.Join(args, " "), d.dir, "DIR"))
 	d.mu.Lock()
-	d.procs = append(d.procs, p)
+	err = d.ctx.Err() // nothing is started once the day has ended
+	if err == nil {
+		if err = p.cmd.Start(); err == nil {
+			d.procs = append(d.procs, p)
+		}
+	}
 	d.mu.Unlock()
+	out.Close()
+	d.must(err, "start "+name)
 	go func() { _ = p.cmd.Wait(); close(p.done) }()
 	return p
 }
@@ -136,23 +146,33 @@
 	return string(text[max(0, len(text)-1500):])
 }
 
-// run runs a command of bin/mallowlanding to its end and returns its output.
+// run runs a command of bin/mallowlanding to its end, of which it is given 60 s, and returns its output. It ends with the
+// day.
 func (d *day) run(args ...string) (string, error) {
-	out, err := exec.Command(d.bin, args...).CombinedOutput()
+	ctx, cancel := context.WithTimeout(d.ctx, 60*time.Second)
+	defer cancel()
+	d.commands.Add(1)
+	defer d.commands.Done()
+	out, err := exec.CommandContext(ctx, d.bin, args...).CombinedOutput()
 	return strings.TrimSpace(string(out)), err
 }
 
 func (d *day) stopAll() {
 	d.mu.Lock()
+	d.end()
 	procs := d.procs
 	d.mu.Unlock()
 	for _, p := range procs {
+		if p.ended() {
+			continue
+		}
 		_ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGCONT)
 		_ = syscall.Kill(-p.cmd.Process.Pid, syscall.SIGKILL)
 	}
 	for _, p := range procs {
 		<-p.done
 	}
+	d.commands.Wait()
 }
 
 var cases = map[string]func(*day){}
@@ -184,6 +204,7 @@
 	} else {
 		fmt.Println("kept:", d.dir)
 	}
+	d.ctx, d.end = context.WithCancel(context.Background())
 	defer d.stopAll()
 	finished := make(chan int, 1)
 	go func() {
