Nothing waits for a worker past the end of its call-out: one rule for both links

A worker that read on ran what had been cancelled, or whose client had left. Cause: workerlink encoded a request when it was decided on and put its bytes behind others (stream.unsent, then the writer's own buffer), in a batch, or in a list that waited for client.ready. Nothing took it out again: the engine told the link nothing when an RPC's time was up or another call-out was answered, and a cancellation only added a call-off behind the request. httplink asked at the first byte, by a rule of its own; its X-Max-Ms was that of the decision, and an order that nobody needed was sent all the same. Change: package outbound has the rule for both links: time left, evidence (rule 3), no pause since, and, for workerlink, no longer wait than the connect timeout, are asked when the first byte is written, and the time left is stated as it is then. Its queue has no I/O; stream writes from it without blocking and tells it what the socket took, so that it is known of each request whether a byte of it was written. The engine tells the link of every end, answer and time-out included; a call-out that was never sent ends as not sent: another worker in time, or a denial. Draining and removed workers lose what was not begun. A half-written message is finished, and the worker told; if it doesn't take the rest within 0.1 s after nobody waits for it, the connection is closed.

--- a/internal/dispatch/event_orders_test.go
+++ b/internal/dispatch/event_orders_test.go
@@ -49,7 +49,7 @@
 }
 
 // CancelCallOut implements engine.Link.
-func (s *simulation) CancelCallOut(engine.CallOutID) {}
+func (s *simulation) CancelCallOut(engine.CallOutID) bool { return false }
 
 // CancelLoadOrder implements engine.Link.
 func (s *simulation) CancelLoadOrder(engine.OrderID) {}
--- a/internal/emulate/frontend.go
+++ b/internal/emulate/frontend.go
@@ -370,17 +370,18 @@
 	})
 }
 
-// CancelCallOut implements engine.Link.
-func (l *link) CancelCallOut(id engine.CallOutID) {
+// CancelCallOut implements engine.Link. Every call-out is sent at once.
+func (l *link) CancelCallOut(id engine.CallOutID) (neverSent bool) {
 	sent := l.callOuts[id]
 	if sent == nil {
-		return
+		return false
 	}
 	l.atWorker(func(x *worker) {
 		if sent.job != nil {
 			x.model.Cancel(sent.job)
 		}
 	})
+	return false
 }
 
 // CancelLoadOrder implements engine.Link.
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -24,7 +24,7 @@
 
 func (l *promptLink) Send(id CallOutID, _ *RPC, _, _ router.Time)               { l.sent = append(l.sent, id) }
 func (l *promptLink) CancelLoadOrder(OrderID)                                   {}
-func (l *promptLink) CancelCallOut(CallOutID)                                   {}
+func (l *promptLink) CancelCallOut(CallOutID) bool                              { return false }
 func (l *promptLink) OrderLoad(OrderID, string, FunctionSpec, int, router.Time) {}
 func (l *promptLink) Check(CheckID)                                             {}
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -35,10 +35,12 @@
 // whose connection breaks ends everything in flight on it: see Engine.CallOutEnded, LoadOrderEnded and CheckEnded.
 type Link interface {
 	// Send sends a call-out of an RPC whose client waits for left from now on. A call-out of which no byte has been sent
-	// by the time sendBy is not sent any more and ends as router.NotSent. The same applies to a load order.
+	// by then, or by the time sendBy, is not sent any more and ends as router.NotSent. The same applies to a load order.
 	Send(id CallOutID, rpc *RPC, left, sendBy router.Time)
-	CancelCallOut(id CallOutID)
-	CancelLoadOrder(id OrderID) // no RPC needs the load any more
+	// CancelCallOut is called when nobody waits for a call-out any more, for whatever reason. If none of its bytes has
+	// been sent, none will be, and CancelCallOut returns true; the link need not report its end then.
+	CancelCallOut(id CallOutID) (neverSent bool)
+	CancelLoadOrder(id OrderID) // no RPC needs the load any more; it is not sent if it has not been
 	OrderLoad(id OrderID, function string, spec FunctionSpec, copies int, sendBy router.Time)
 	Check(id CheckID)
 }
@@ -105,9 +107,12 @@
 }
 
 type callOut struct {
-	worker *worker
-	sentAt router.Time
-	ended  bool
+	worker    *worker
+	link      Link // that it was handed to; nil: none
+	sentAt    router.Time
+	cancelled bool // nobody waits for it any more, and the link knows
+	neverSent bool // as the link has reported when it was cancelled
+	ended     bool
 }
 
 type worker struct {
@@ -411,11 +416,7 @@
 	}
 	r.cancelState.Cancel()
 	e.router.ClientLeft(e.now, r.id)
-	for n := range r.callOuts {
-		if c := &r.callOuts[n]; !c.ended && c.worker.link != nil {
-			c.worker.link.CancelCallOut(CallOutID(uint64(r.id)<<8 | uint64(n)))
-		}
-	}
+	r.cancelCallOuts()
 	for _, id := range e.demand.RPCClosed(nameid.Function(r.Function), true) {
 		if o := e.orders[id]; o != nil && o.worker.link != nil {
 			o.worker.link.CancelLoadOrder(id)
@@ -423,6 +424,36 @@
 	}
 }
 
+// cancelCallOuts cancels the call-outs in flight. Those that were never sent end in the next turn.
+func (r *RPC) cancelCallOuts() {
+	for n := range r.callOuts {
+		if !r.cancelCallOut(n) {
+			continue
+		}
+		r.e.deferred = append(r.e.deferred, func() {
+			if !r.callOuts[n].ended {
+				r.endCallOut(n, router.NotSent, router.WarmthUnknown, 0, nil, nil, nil)
+			}
+		})
+	}
+}
+
+// cancelCallOut tells the link, once, that nobody waits for the n-th call-out any more. It reports whether the call-out
+// was taken back by this call, so that it is known never to have run.
+func (r *RPC) cancelCallOut(n int) (neverSent bool) {
+	c := &r.callOuts[n]
+	if c.ended || c.cancelled || c.link == nil {
+		return false
+	}
+	c.cancelled = true
+	if c.neverSent = c.link.CancelCallOut(r.callOutID(n)); c.neverSent {
+		r.cancelState.CallOutEnded(router.NotSent)
+	}
+	return c.neverSent
+}
+
+func (r *RPC) callOutID(n int) CallOutID { return CallOutID(uint64(r.id)<<8 | uint64(n)) }
+
 // answerCancelled answers a cancelled RPC according to v.
 func (r *RPC) answerCancelled(v cancellation.Verdict) {
 	if r.closed || v == cancellation.Wait {
@@ -439,19 +470,24 @@
 	r.e.release(r)
 }
 
-// expire ends the call-outs in flight as timed out when the client's time is over. They may have run.
-func (r *RPC) expire(now router.Time) {
+// expire ends the call-outs in flight when the client's time is over.
+func (r *RPC) expire(router.Time) {
 	for n := range r.callOuts {
-		if c := &r.callOuts[n]; !c.ended {
-			r.endCallOut(n, router.TimedOut, router.WarmthUnknown, 0, nil, nil, nil)
-		}
+		r.timeOutCallOut(n)
 	}
 }
 
-// CallOutOpen reports whether a call-out is in flight.
-func (e *Engine) CallOutOpen(id CallOutID) bool {
-	r, n := e.rpcs[router.RPCID(id>>8)], int(id&0xff)
-	return r != nil && n < len(r.callOuts) && !r.callOuts[n].ended
+// timeOutCallOut ends the n-th call-out, whose time is over. It may have run unless it was never sent.
+func (r *RPC) timeOutCallOut(n int) {
+	c := &r.callOuts[n]
+	if c.ended {
+		return
+	}
+	outcome := router.TimedOut
+	if r.cancelCallOut(n) || c.neverSent {
+		outcome = router.NotSent
+	}
+	r.endCallOut(n, outcome, router.WarmthUnknown, 0, nil, nil, nil)
 }
 
 // CallOutEnded records how a call-out ended, by the worker's answer or at the link. Result is the worker's result for
@@ -472,7 +508,9 @@
 	e, c := r.e, &r.callOuts[n]
 	c.ended = true
 	r.inFlight--
-	r.cancelState.CallOutEnded(outcome)
+	if !c.neverSent { // else it is known since the call-out was cancelled
+		r.cancelState.CallOutEnded(outcome)
+	}
 	if outcome == router.OK && !r.closed {
 		r.close()
 		e.counts.OK++
@@ -489,9 +527,11 @@
 	e.release(r)
 }
 
-// close marks the RPC as answered or abandoned.
+// close marks the RPC as answered or abandoned. Nothing is sent for it from then on.
 func (r *RPC) close() {
-	if r.closed = true; !r.cancelState.Cancelled() {
+	r.closed = true
+	r.cancelCallOuts()
+	if !r.cancelState.Cancelled() {
 		r.e.demand.RPCClosed(nameid.Function(r.Function), false)
 	}
 }
@@ -612,11 +652,10 @@
 		if limit > 0 { // the link then times out by itself
 			left = min(left, limit)
 		}
+		r.callOuts[n].link = target.link
 		target.link.Send(id, r, left, sendBy)
 		if limit > 0 && e.now+limit < r.expiresAt {
-			e.timers.Set(new(eventloop.Timer), e.now+limit, func(router.Time) {
-				e.CallOutEnded(id, w, router.TimedOut, router.WarmthUnknown, 0, nil, nil, nil)
-			})
+			e.timers.Set(new(eventloop.Timer), e.now+limit, func(router.Time) { r.timeOutCallOut(n) })
 		}
 	}
 }
@@ -651,13 +690,13 @@
 	if r == nil || n >= len(r.callOuts) || r.callOuts[n].ended {
 		return
 	}
-	c, id := &r.callOuts[n], CallOutID(uint64(rpc)<<8|uint64(n))
-	if c.worker.link != nil {
-		c.worker.link.CancelCallOut(id)
+	outcome := router.Cancelled
+	if r.cancelCallOut(n) || r.callOuts[n].neverSent {
+		outcome = router.NotSent
 	}
-	w := c.worker.id
+	id, w := r.callOutID(n), r.callOuts[n].worker.id
 	e.deferred = append(e.deferred, func() {
-		e.CallOutEnded(id, w, router.Cancelled, router.WarmthUnknown, 0, nil, nil, nil)
+		e.CallOutEnded(id, w, outcome, router.WarmthUnknown, 0, nil, nil, nil)
 	})
 }
 
@@ -707,7 +746,7 @@
 	e.timers.Set(&o.timeout, e.now+e.orderTimeout, func(router.Time) { e.LoadOrderEnded(id, router.TimedOut, 0) })
 	f.lastUsed = e.now
 	e.functions[fn] = f
-	target.link.OrderLoad(id, f.name, f.spec, n, sendBy)
+	target.link.OrderLoad(id, f.name, f.spec, n, min(sendBy, e.now+e.orderTimeout))
 }
 
 // SubscribeWorkers implements router.Actions.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -7,75 +7,28 @@
 	"testing"
 
 	"mallowlanding/internal/nameid"
-	"mallowlanding/internal/routing"
+	"mallowlanding/internal/routing/routingtest"
 	"mallowlanding/internal/settingkeys"
 	"mallowlanding/router"
 )
 
-// scriptedRouter is a router that sends each RPC to the worker with id 1 and records the outcomes of call-outs.
-type scriptedRouter struct {
-	actions  router.Actions
-	outcomes []router.Outcome
+// unsentLink is a Link that never gets to send a call-out.
+type unsentLink struct {
+	recorder
+	sendBy router.Time // of the last load order
 }
 
-// scriptedRPC is an RPC at a scriptedRouter. It makes no further call-out, however the first one ends.
-type scriptedRPC struct {
-	router   *scriptedRouter
-	finished bool
-}
-
-// Submit implements routing.Router.
-func (r *scriptedRouter) Submit(_ router.Time, id router.RPCID, _ router.MethodID, _ router.CustomerID, _ router.FunctionID,
-	_ router.Time, _, _ float64, _ int, _ router.Time, _ bool) routing.Handle {
-	r.actions.Send(id, 1, 0, math.MaxInt64)
-	return &scriptedRPC{router: r}
-}
-
-// CallOutEnded implements routing.Handle.
-func (p *scriptedRPC) CallOutEnded(_ router.Time, _ int, _ router.WorkerID, o router.Outcome, closed bool, _ router.Warmth, _ int,
-	_ router.Time, _ []float64) {
-	p.router.outcomes = append(p.router.outcomes, o)
-	p.finished = closed
-}
-
-// ClientLeft implements routing.Handle.
-func (p *scriptedRPC) ClientLeft(router.Time) { p.finished = true }
-
-// Finished implements routing.Handle.
-func (p *scriptedRPC) Finished() bool { return p.finished }
-
-// BeginWorkerList implements routing.Router. This method and those below do nothing.
-func (r *scriptedRouter) BeginWorkerList(router.Time, router.ListUpdate, uint64) {}
-
-// AddListedWorker implements routing.Router.
-func (r *scriptedRouter) AddListedWorker(router.Time, router.WorkerID, router.Readiness, router.Time, router.ZoneID, router.CellID,
-	router.KindID, float64) {
-}
-
-// EndWorkerList implements routing.Router.
-func (r *scriptedRouter) EndWorkerList(router.Time)        {}
-func (*scriptedRouter) ConfirmWorkerList(_, _ router.Time) {}
-
-// LoadOrderEnded implements routing.Router.
-func (r *scriptedRouter) LoadOrderEnded(router.Time, router.WorkerID, router.FunctionID, router.Outcome, int, router.Time) {
+// CancelCallOut implements Link.
+func (l *unsentLink) CancelCallOut(id CallOutID) bool {
+	l.recorder.CancelCallOut(id)
+	return true
 }
 
-// CheckEnded implements routing.Router.
-func (r *scriptedRouter) CheckEnded(router.Time, router.WorkerID, router.Outcome, router.Time, []float64) {
+// OrderLoad implements Link.
+func (l *unsentLink) OrderLoad(_ OrderID, _ string, _ FunctionSpec, _ int, sendBy router.Time) {
+	l.sendBy = sendBy
 }
 
-// TimerFired implements routing.Router.
-func (r *scriptedRouter) TimerFired(router.Time, uint64) {}
-
-// UpdateSettings implements routing.Router.
-func (r *scriptedRouter) UpdateSettings(router.Time, router.ParsedSettings) {}
-
-// LoadsHalted implements routing.Router.
-func (r *scriptedRouter) LoadsHalted(router.FunctionID) bool { return false }
-
-// Dispatch implements routing.Router.
-func (r *scriptedRouter) Dispatch(router.Time) {}
-
 // recorder is a Client and a Link that records its calls as text.
 type recorder []string
 
@@ -97,7 +50,10 @@
 }
 
 // CancelCallOut implements Link.
-func (r *recorder) CancelCallOut(id CallOutID) { *r = append(*r, fmt.Sprint("call off ", id)) }
+func (r *recorder) CancelCallOut(id CallOutID) bool {
+	*r = append(*r, fmt.Sprint("call off ", id))
+	return false
+}
 
 // CancelLoadOrder implements Link.
 func (r *recorder) CancelLoadOrder(OrderID) {}
@@ -108,14 +64,11 @@
 // Check implements Link.
 func (r *recorder) Check(CheckID) {}
 
-// newTestEngine returns an engine with a scriptedRouter and the one worker it sends to.
-func newTestEngine(now router.Time) (e *Engine, scripted *scriptedRouter, link *recorder) {
-	scripted, link = &scriptedRouter{}, &recorder{}
+// newTestEngine returns an engine with a routingtest.Router and the one worker it sends to.
+func newTestEngine(now router.Time) (e *Engine, scripted *routingtest.Router, link *recorder) {
+	scripted, link = &routingtest.Router{}, &recorder{}
 	e = New(Options{Settings: router.Settings{"may.call-outs": 3., "may.overlap": true}, Now: now, Log: func(string) {},
-		NewRouter: func(actions router.Actions, _ router.Time, _ int64, _ router.Settings) routing.Router {
-			scripted.actions = actions
-			return scripted
-		}})
+		NewRouter: scripted.Factory})
 	w := e.ensureWorker("w")
 	delete(e.workers, w.id)
 	w.id, w.link = 1, link
@@ -177,8 +130,8 @@
 		if answerFirst {
 			want = []router.Outcome{router.OK}
 		}
-		if !slices.Equal(scripted.outcomes, want) || answerFirst != slices.Equal(got, recorder{"ok a"}) {
-			t.Errorf("answer first %t: the router got %v, the client %v", answerFirst, scripted.outcomes, got)
+		if !slices.Equal(scripted.Outcomes, want) || answerFirst != slices.Equal(got, recorder{"ok a"}) {
+			t.Errorf("answer first %t: the router got %v, the client %v", answerFirst, scripted.Outcomes, got)
 		}
 	}
 }
@@ -190,7 +143,7 @@
 	var got recorder
 	p := e.Submit(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 1000}, 0, "f", FunctionSpec{}, "", 500, false, nil, nil, &got)
 	p.ClientLeft()
-	scripted.actions.Send(p.id, 1, 0, math.MaxInt64)
+	scripted.Actions.Send(p.id, 1, 0, math.MaxInt64)
 	e.BeginTurn(1001)
 	e.EndTurn()
 	if want := (recorder{"send 256", "call off 256"}); !slices.Equal(*link, want) || len(got) > 0 {
@@ -278,3 +231,72 @@
 		t.Errorf("got reasons %v after %d call-outs, want only not-ready after 0", reasons, p.CallOuts())
 	}
 }
+
+// TestUnsentCallOutNeverRan checks that a call-out that its link has not sent is withdrawn however it ends, that the
+// router learns that it never ran, and that a client that cancels a side-effecting RPC is denied at once.
+func TestUnsentCallOutNeverRan(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		end    func(e *Engine, p *RPC, scripted *routingtest.Router)
+		answer recorder
+	}{
+		{"time is up", func(e *Engine, p *RPC, _ *routingtest.Router) { e.BeginTurn(p.expiresAt); e.EndTurn() }, nil},
+		{"cancelled", func(_ *Engine, p *RPC, _ *routingtest.Router) { p.Cancel() }, recorder{"denied"}},
+		{"client left", func(_ *Engine, p *RPC, _ *routingtest.Router) { p.ClientLeft() }, nil},
+		{"stop", func(e *Engine, _ *RPC, _ *routingtest.Router) { e.AnswerAll() }, recorder{"denied"}},
+		{"router", func(_ *Engine, p *RPC, scripted *routingtest.Router) { scripted.Actions.CancelCallOut(p.id, 0) }, nil},
+	} {
+		e, scripted, _ := newTestEngine(1000)
+		link := &unsentLink{}
+		e.workers[1].link = link
+		var got recorder
+		p := e.Submit(0, &Method{Name: "m", Effect: router.SideEffecting, Deadline: 1000}, 0, "f", FunctionSpec{}, "", 500, false, nil, nil, &got)
+		c.end(e, p, scripted)
+		if !slices.Equal(got, c.answer) {
+			t.Errorf("%s: answers %v, want %v", c.name, got, c.answer)
+		}
+		e.BeginTurn(2000)
+		e.EndTurn()
+		if want := []router.Outcome{router.NotSent}; !slices.Equal(scripted.Outcomes, want) {
+			t.Errorf("%s: outcomes %v, want %v", c.name, scripted.Outcomes, want)
+		}
+		if want := (recorder{"send 256", "call off 256"}); !slices.Equal(link.recorder, want) {
+			t.Errorf("%s: calls of the link %v, want %v", c.name, link.recorder, want)
+		}
+		if c.answer != nil && len(e.rpcs) > 0 {
+			t.Errorf("%s: an RPC is still stored", c.name)
+		}
+	}
+}
+
+// TestAnswerWithdrawsOtherCallOut checks that nothing is sent for an RPC after its answer: a second call-out that is in
+// flight then is cancelled.
+func TestAnswerWithdrawsOtherCallOut(t *testing.T) {
+	e, scripted, _ := newTestEngine(1000)
+	link := &unsentLink{}
+	e.workers[1].link = link
+	var got recorder
+	p := e.Submit(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 1000}, 0, "f", FunctionSpec{}, "", 500, false, nil, nil, &got)
+	scripted.Actions.Send(p.id, 1, 0, math.MaxInt64)
+	e.CallOutEnded(256, 1, router.OK, router.AlreadyWarm, 0, nil, []byte("a"), nil)
+	if want := (recorder{"send 256", "send 257", "call off 257"}); !slices.Equal(link.recorder, want) || !slices.Equal(got, recorder{"ok a"}) {
+		t.Errorf("calls of the link %v, want %v; answers %v", link.recorder, want, got)
+	}
+	e.BeginTurn(1001)
+	e.EndTurn()
+	if len(e.rpcs) > 0 {
+		t.Error("the RPC is still stored")
+	}
+}
+
+// TestLoadOrderIsSentBeforeItsTimeout checks that a link is not allowed to send a load order whose time is over.
+func TestLoadOrderIsSentBeforeItsTimeout(t *testing.T) {
+	e, scripted, _ := newTestEngine(1000)
+	link := &unsentLink{}
+	e.workers[1].link, e.orderTimeout = link, 70
+	e.Submit(0, &Method{Name: "m", Effect: router.Idempotent, Deadline: 1000}, 0, "f", FunctionSpec{}, "", 500, false, nil, nil, ignoringClient{})
+	scripted.Actions.OrderLoad(1, nameid.Function("f"), 1, math.MaxInt64)
+	if link.sendBy != 1070 {
+		t.Errorf("the order may be sent until %d, want 1070", link.sendBy)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,8 +68,9 @@
 // EndTurn implements eventloop.Handler.
 func (h *loopHandler) EndTurn() {
 	h.dispatcher.Admit()
+	h.links.Expire()
 	h.Engine.EndTurn()
-	h.links.SendDueBatches()
+	h.links.QueueDueBatches()
 	h.links.Flush()
 	h.clients.Flush()
 }
@@ -155,6 +156,7 @@
 
 	linkSet := workerlink.New(backgroundCtx, loop, eng, workerlink.Options{FrontEnd: frontEnd.Name,
 		ConnectTimeout: eventloop.ToDuration(frontEnd.Service.CallOuts.ConnectTimeout), ValueBytes: frontEnd.Workers.ValueBytes,
+		MaxPause:    eventloop.ToDuration(router.MaxPause(frontEnd.RouterSettings())),
 		QueuedBytes: frontEnd.Workers.SendBytes, RedialMin: eventloop.ToDuration(frontEnd.Workers.RedialMin),
 		RedialMax: eventloop.ToDuration(frontEnd.Workers.RedialMax), WrapLink: hooks.Link, Log: log})
 	watcher := rosterwatch.New(loop, eng, linkSet, live.watcherOptions(frontEnd, live.savedConfig))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,10 +31,11 @@
 // real sockets.
 //
 //	set ATTRIBUTE=VALUE ...   sets attributes of the element clients; functions.ATTRIBUTE, methods.ATTRIBUTE and
-//	                          allow.ATTRIBUTE: of those ($UID: the test's user id); methods: of the method query;
+//	                          allow.ATTRIBUTE: of those ($UID: the test's user id); methods, hold: of the methods query, hold;
 //	                          control.keep: the file in which the configuration is saved
 //	roster up|down            starts or stops the roster
 //	worker W [mute|deaf]      starts a worker; mute: it accepts and sends nothing; deaf: it is ready and reads nothing
+//	                          until 'W reads'
 //	list W=STATE ...          the roster sends a full list and waits for the acknowledgment; list-again: sends it twice
 //	changes W=STATE ...       the roster sends changes and waits for the acknowledgment
 //	start                     starts the front end and waits until it accepts RPCs
@@ -392,7 +393,7 @@
 }
 
 func (k *conversation) start() error {
-	for name, value := range map[string]string{"functions.orders": "no", "methods.deadline-ms": "2000"} {
+	for name, value := range map[string]string{"functions.orders": "no", "methods.deadline-ms": "2000", "hold.deadline-ms": "1000"} {
 		k.attrs[name] = cmp.Or(k.attrs[name], value)
 	}
 	controlElement := ""
@@ -404,9 +405,9 @@
 <roster socket=%q cache=%q/>%s<service>
 <method name="query" effect="idempotent"%s/>
 <method name="book" effect="tokened" group="all" window-ms="2000" deadline-ms="1000"/>
-<method name="hold" effect="side-effecting" deadline-ms="1000"/>
+<method name="hold" effect="side-effecting"%s/>
 <functions%s/></service></front-end>`, k.path("front"), k.attributes(""), k.allowElement(), k.path("roster"),
-		filepath.Join(k.dir, "list"), controlElement, k.attributes("methods"), k.attributes("functions"))
+		filepath.Join(k.dir, "list"), controlElement, k.attributes("methods"), k.attributes("hold"), k.attributes("functions"))
 	file := filepath.Join(k.dir, "front.xml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/eventloop"
 	"mallowlanding/internal/httpconn"
+	"mallowlanding/internal/outbound"
 	"mallowlanding/router"
 )
 
@@ -37,6 +39,7 @@
 	loop     *eventloop.Loop
 	l        net.Listener
 	requests chan string // method and path of each request; "" for a connection that ended without one
+	maxMS    chan string // X-Max-Ms of each request
 	dialled  chan bool   // a connection is established and waits at the gate
 	gate     chan bool
 	dialErr  error // that Dial returns
@@ -47,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, l: l, loop: eventloop.NewLoop(), requests: make(chan string, 16), dialled: make(chan bool, 16), gate: make(chan bool, 16)}
+	f := &fixture{t: t, l: l, loop: eventloop.NewLoop(), requests: make(chan string, 16), maxMS: make(chan string, 16), dialled: make(chan bool, 16), gate: make(chan bool, 16)}
 	go func() {
 		for {
 			nc, err := l.Accept()
@@ -64,6 +67,7 @@
 						}
 						return
 					}
+					f.maxMS <- req.Header.Get("X-Max-Ms")
 					f.requests <- req.Method + " " + req.RequestURI
 					_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Slots-Up: 1\r\n\r\n")
 				}
@@ -102,11 +106,15 @@
 
 // startMessage starts an exchange; its result arrives on the channel.
 func (f *fixture) startMessage(timeout time.Duration) (x *exchange, ended chan result) {
+	return f.startMessageBy(timeout, math.MaxInt64)
+}
+
+// startMessageBy starts an exchange whose first byte is written by the time startBy.
+func (f *fixture) startMessageBy(timeout time.Duration, startBy router.Time) (x *exchange, ended chan result) {
 	ended = make(chan result, 1)
-	f.inTurn(func() {
-		x = f.set.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), timeout, math.MaxInt64,
-			func(r result) { ended <- r })
-	})
+	m := message{label: "message", appendTo: always([]byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n")), timeout: timeout,
+		conditions: outbound.Conditions{SendBy: startBy}}
+	f.inTurn(func() { x = f.set.links["w"].start(m, func(r result) { ended <- r }) })
 	return x, ended
 }
 
@@ -217,7 +225,7 @@
 	f := newFixture(t)
 	x, ended := f.startMessage(testTimeout)
 	<-f.dialled
-	f.inTurn(x.stop)
+	f.inTurn(func() { x.stop() })
 	f.expectNothingSent(ended)
 }
 
@@ -322,21 +330,13 @@
 // if that happens earlier.
 func TestNotSentAfterStartBy(t *testing.T) {
 	f := newFixture(t)
-	start := func(startBy router.Time) chan result {
-		ended := make(chan result, 1)
-		f.inTurn(func() {
-			f.set.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), testTimeout, startBy,
-				func(r result) { ended <- r })
-		})
-		return ended
-	}
-	late := start(f.loop.Now() + eventloop.FromDuration(20*time.Millisecond))
+	_, late := f.startMessageBy(testTimeout, f.loop.Now()+eventloop.FromDuration(20*time.Millisecond))
 	<-f.dialled
 	time.Sleep(30 * time.Millisecond)
 	f.gate <- true
 	f.expectOutcome(late, router.NotSent)
 	f.expectRequest("")
-	inTime := start(f.loop.Now() + eventloop.FromDuration(testTimeout))
+	_, inTime := f.startMessageBy(testTimeout, f.loop.Now()+eventloop.FromDuration(testTimeout))
 	<-f.dialled
 	f.gate <- true
 	f.expectRequest("PUT /v2/q/f/1")
@@ -355,11 +355,7 @@
 			f.set.UpdateSettings(o)
 			f.set.BeginTurn()
 		})
-		ended := make(chan result, 1)
-		f.inTurn(func() {
-			f.set.links["w"].start("message", []byte("PUT /v2/q/f/1 HTTP/1.1\r\nHost: w\r\n\r\n"), testTimeout, f.loop.Now()+eventloop.FromDuration(testTimeout),
-				func(r result) { ended <- r })
-		})
+		_, ended := f.startMessageBy(testTimeout, f.loop.Now()+eventloop.FromDuration(testTimeout))
 		<-f.dialled
 		time.Sleep(2 * maxPause) // no turn calls BeginTurn meanwhile, which looks like a pause of the process
 		if turnAfterPause {
@@ -370,3 +366,79 @@
 		f.expectRequest("")
 	}
 }
+
+// TestCancelDuringDial checks that a call-out or load order that is cancelled before its connection is established is
+// never sent, and that the engine learns at once that the call-out was not.
+func TestCancelDuringDial(t *testing.T) {
+	f := newFixture(t)
+	var e1, e2 bool
+	f.inTurn(func() {
+		l := f.set.links["w"]
+		l.Send(1, testRPC(), eventloop.FromDuration(testTimeout), math.MaxInt64)
+		l.OrderLoad(2, "f", engine.FunctionSpec{}, 1, math.MaxInt64)
+	})
+	<-f.dialled
+	<-f.dialled
+	f.inTurn(func() {
+		l := f.set.links["w"]
+		e1, e2 = l.CancelCallOut(1), l.CancelCallOut(7)
+		l.CancelLoadOrder(2)
+	})
+	if !e1 || e2 {
+		t.Errorf("never sent: %t, want true; of an unknown call-out: %t, want false", e1, e2)
+	}
+	f.gate <- true
+	f.gate <- true
+	f.expectRequest("")
+	f.expectRequest("")
+	f.await("the exchanges end", func() bool {
+		l := f.set.links["w"]
+		return len(l.callOuts) == 0 && len(l.orders) == 0
+	})
+	f.expectConnCount(0)
+}
+
+// TestCancelAfterSend checks that a call-out that has been sent may have run.
+func TestCancelAfterSend(t *testing.T) {
+	f := newFixture(t)
+	f.gate <- true
+	f.inTurn(func() { f.set.links["w"].Send(1, testRPC(), eventloop.FromDuration(testTimeout), math.MaxInt64) })
+	f.expectRequest("GET /v2/q/m")
+	neverSent := false
+	f.inTurn(func() { neverSent = f.set.links["w"].CancelCallOut(1) })
+	if neverSent {
+		t.Error("a call-out that was sent counts as never sent")
+	}
+}
+
+// TestTimeLeftWhenSent checks that X-Max-Ms is the time that is left when the request is sent, not when it was decided
+// on.
+func TestTimeLeftWhenSent(t *testing.T) {
+	f := newFixture(t)
+	f.inTurn(func() { f.set.links["w"].Send(1, testRPC(), eventloop.FromDuration(testTimeout), math.MaxInt64) })
+	<-f.dialled
+	const wait = 50 * time.Millisecond
+	time.Sleep(wait)
+	f.gate <- true
+	f.expectRequest("GET /v2/q/m")
+	got, err := strconv.Atoi(<-f.maxMS)
+	if most := int((testTimeout - wait).Milliseconds()); err != nil || got > most {
+		t.Errorf("X-Max-Ms %d, %v; want %d at the most", got, err, most)
+	}
+}
+
+func testRPC() *engine.RPC {
+	return &engine.RPC{Method: &engine.Method{Name: "m"}, Function: "f", ClientRPCID: "1"}
+}
+
+// await waits until what condition returns in a turn is true.
+func (f *fixture) await(what string, condition func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		ok := false
+		if f.inTurn(func() { ok = condition() }); ok {
+			return
+		}
+	}
+	f.t.Fatal("timeout: " + what)
+}
--- /dev/null
+++ b/internal/outbound/queue.go
@@ -0,0 +1,276 @@
+package outbound
+
+import (
+	"math"
+	"slices"
+
+	"mallowlanding/router"
+)
+
+const (
+	// chunkBytes is how much Next encodes ahead. What the socket does not accept is encoded again.
+	chunkBytes = 64 << 10
+	// compactAbove is the number of removed messages from which they are dropped from the middle of the queue.
+	compactAbove = 32
+)
+
+// Request is one request of a message.
+type Request struct {
+	ID         string // unique among the requests that have not been sent; empty: a notification
+	Conditions Conditions
+	Size       int // approximate number of bytes
+}
+
+// Message is a message for a worker, of one request or of several that are answered each on its own.
+type Message struct {
+	Requests []Request
+	// AppendTo appends the message as it is sent at the time now, with those of its requests that are still wanted.
+	AppendTo func(out []byte, now router.Time, ids []string) []byte
+}
+
+// Dropped is a request that was removed from the queue and never sent.
+type Dropped struct {
+	ID  string
+	Err error
+}
+
+// Queue holds the messages for one connection in the order in which they were added. A message is encoded when the
+// connection has room for it, so that what it says of the time left is true, and only if its conditions hold then.
+// What has been begun is written to its end: the stream could not be read otherwise.
+//
+// A Queue is not safe for concurrent use.
+type Queue struct {
+	pauses   *PauseDetector
+	messages []*Message // not begun; a message without requests has been removed
+	removed  int        // messages without requests in the middle of the queue
+	unsent   map[string]*Message
+	bytes    int // sizes of the requests that have not been begun
+	dropped  []Dropped
+
+	buffer []byte     // what Next returned
+	ends   []int      // where the messages of buffer end
+	begun  []*Message // the messages of buffer
+	rest   []byte     // the rest of the message in progress; part of buffer or a greeting
+	open   []string   // requests of the message in progress that are still wanted
+	wanted bool       // the message in progress has been wanted since it was begun
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(pauses *PauseDetector) *Queue {
+	return &Queue{pauses: pauses, unsent: map[string]*Message{}}
+}
+
+// Greet has bytes written before all messages. It must be called before the first call of Next.
+func (q *Queue) Greet(bytes []byte) { q.rest, q.wanted = bytes, true }
+
+// Add adds a message at the end.
+func (q *Queue) Add(m *Message) {
+	for i := range m.Requests {
+		q.bytes += m.Requests[i].Size
+		if id := m.Requests[i].ID; id != "" {
+			q.unsent[id] = m
+		}
+	}
+	q.messages = append(q.messages, m)
+}
+
+// Bytes returns the approximate number of bytes that wait.
+func (q *Queue) Bytes() int { return q.bytes + len(q.rest) }
+
+// Empty reports whether nothing is left to write.
+func (q *Queue) Empty() bool { return len(q.rest) == 0 && len(q.messages) == q.removed }
+
+// Next returns the bytes to write next; none if the queue is empty. The connection may accept any number of them: Wrote
+// must be told before any other call.
+func (q *Queue) Next(now router.Time) []byte {
+	if len(q.rest) > 0 {
+		return q.rest
+	}
+	q.buffer, q.ends, q.begun = q.buffer[:0], q.ends[:0], q.begun[:0]
+	if cap(q.buffer) > 4*chunkBytes { // a large message has been written
+		q.buffer = nil
+	}
+	for _, m := range q.messages {
+		if q.check(m, now); len(m.Requests) == 0 {
+			continue
+		}
+		ids := make([]string, len(m.Requests))
+		for i := range m.Requests {
+			ids[i] = m.Requests[i].ID
+		}
+		q.buffer = m.AppendTo(q.buffer, now, ids)
+		q.ends, q.begun = append(q.ends, len(q.buffer)), append(q.begun, m)
+		if len(q.buffer) >= chunkBytes {
+			break
+		}
+	}
+	q.compact()
+	return q.buffer
+}
+
+// Wrote records that the connection accepted the first n of the bytes that Next returned last.
+func (q *Queue) Wrote(n int) {
+	if len(q.rest) > 0 {
+		if q.rest = q.rest[n:]; len(q.rest) == 0 {
+			q.rest, q.open = nil, nil
+		}
+		return
+	}
+	start := 0
+	for i, m := range q.begun {
+		if n <= start {
+			break
+		}
+		end := q.ends[i]
+		ids := q.begin(m)
+		if n < end {
+			q.rest, q.open, q.wanted = q.buffer[n:end], ids, true
+		}
+		start = end
+	}
+	q.ends, q.begun = q.ends[:0], q.begun[:0]
+}
+
+// begin removes the first message that has requests, which is m, from the queue and returns its requests.
+func (q *Queue) begin(m *Message) (ids []string) {
+	for _, r := range m.Requests {
+		q.forget(r)
+		ids = append(ids, r.ID)
+	}
+	m.Requests = nil
+	q.removed++
+	q.trimFront()
+	return ids
+}
+
+func (q *Queue) forget(r Request) {
+	q.bytes -= r.Size
+	delete(q.unsent, r.ID)
+}
+
+// trimFront drops the removed messages at the front.
+func (q *Queue) trimFront() {
+	for len(q.messages) > 0 && len(q.messages[0].Requests) == 0 {
+		q.messages[0] = nil
+		q.messages = q.messages[1:]
+		q.removed--
+	}
+	if len(q.messages) == 0 {
+		q.messages = nil
+	}
+}
+
+// compact drops the removed messages at the front and, if they are many, those in the middle.
+func (q *Queue) compact() {
+	q.trimFront()
+	if q.removed > compactAbove && q.removed > len(q.messages)/2 {
+		q.messages = slices.DeleteFunc(q.messages, func(m *Message) bool { return len(m.Requests) == 0 })
+		q.removed = 0
+	}
+}
+
+// check removes the requests of m whose conditions no longer hold.
+func (q *Queue) check(m *Message, now router.Time) {
+	q.removeRequests(m, func(r *Request) error { return r.Conditions.Check(now, q.pauses) })
+}
+
+// removeRequests removes the requests of m for which why returns an error, and lists them as dropped.
+func (q *Queue) removeRequests(m *Message, why func(r *Request) error) {
+	if len(m.Requests) == 0 {
+		return
+	}
+	m.Requests = slices.DeleteFunc(m.Requests, func(r Request) bool {
+		err := why(&r)
+		if err == nil {
+			return false
+		}
+		if q.forget(r); r.ID != "" {
+			q.dropped = append(q.dropped, Dropped{r.ID, err})
+		}
+		return true
+	})
+	if len(m.Requests) == 0 {
+		m.AppendTo = nil // releases the payload
+		q.removed++
+	}
+}
+
+// State returns how far a request has got.
+func (q *Queue) State(id string) State {
+	switch {
+	case q.unsent[id] != nil:
+		return Unsent
+	case slices.Contains(q.open, id):
+		return Begun
+	}
+	return Sent
+}
+
+// Withdraw has a request not sent any more, since nobody waits for its answer, and returns how far it has got. It is
+// removed if it is unsent; it is not listed as dropped.
+func (q *Queue) Withdraw(id string) State {
+	state := q.State(id)
+	switch state {
+	case Unsent:
+		q.removeRequests(q.unsent[id], func(r *Request) error {
+			if r.ID == id {
+				return ErrWithdrawn
+			}
+			return nil
+		})
+		q.dropped = q.dropped[:len(q.dropped)-1]
+		q.compact()
+	case Begun:
+		q.open = slices.DeleteFunc(q.open, func(other string) bool { return other == id })
+		q.wanted = len(q.open) > 0
+	}
+	return state
+}
+
+// RestUnwanted reports whether a message is half written and nobody waits for an answer to it any more.
+func (q *Queue) RestUnwanted() bool { return len(q.rest) > 0 && !q.wanted }
+
+// DropUnsent drops all requests that have not been begun; notifications stay.
+func (q *Queue) DropUnsent(err error) {
+	for _, m := range q.messages {
+		q.removeRequests(m, func(r *Request) error {
+			if r.ID == "" {
+				return nil
+			}
+			return err
+		})
+	}
+	q.compact()
+}
+
+// Expire drops the requests whose conditions no longer hold.
+func (q *Queue) Expire(now router.Time) {
+	for _, m := range q.messages {
+		q.check(m, now)
+	}
+	q.compact()
+}
+
+// NextExpiry returns when Expire has something to drop; false: not before another message is added.
+func (q *Queue) NextExpiry() (due router.Time, ok bool) {
+	last := router.Time(math.MaxInt64)
+	for _, m := range q.messages {
+		for i := range m.Requests {
+			last = min(last, m.Requests[i].Conditions.validUntil())
+		}
+	}
+	if last == math.MaxInt64 {
+		return 0, false
+	}
+	return last + 1, true
+}
+
+// TakeDropped returns the requests that were dropped since the last call.
+func (q *Queue) TakeDropped() []Dropped {
+	dropped := q.dropped
+	q.dropped = nil
+	return dropped
+}
+
+// HasDropped reports whether TakeDropped has something to return.
+func (q *Queue) HasDropped() bool { return len(q.dropped) > 0 }
--- a/internal/rosterwatch/watcher.go
+++ b/internal/rosterwatch/watcher.go
@@ -172,8 +172,11 @@
 	w.entries[e.Name] = e
 	if e.State == "gone" {
 		w.links.Remove(e.Name)
-	} else {
-		w.links.Add(e.Name, e.Socket, nameid.Worker(e.Name))
+		return
+	}
+	w.links.Add(e.Name, e.Socket, nameid.Worker(e.Name))
+	if e.State == "draining" {
+		w.links.Drain(e.Name)
 	}
 }
 
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -39,13 +39,24 @@
 func TryWrite(raw syscall.RawConn, b []byte) (n int, err error) {
 	var writeErr error
 	err = raw.Write(func(fd uintptr) bool {
-		n, writeErr = unix.Write(int(fd), b)
+		n, writeErr = WriteFD(fd, b)
 		return true
 	})
-	if writeErr == unix.EAGAIN || writeErr == unix.EINTR {
-		writeErr = nil
+	return n, errors.Join(err, writeErr)
+}
+
+// WriteFD is TryWrite for the descriptor of a non-blocking socket.
+func WriteFD(fd uintptr, b []byte) (n int, err error) {
+	for {
+		n, err = unix.Write(int(fd), b)
+		switch err {
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN:
+			err = nil
+		}
+		return max(n, 0), err
 	}
-	return max(n, 0), errors.Join(err, writeErr)
 }
 
 // HasUnread reports whether bytes have been received that nobody has read.
