Rehearsal: a worker that hangs reads nothing, and the audit judges when a request was sent

Change: while a stand-in hangs, its connections are not read and none is accepted. It looks at the bytes that wait in each socket, and records when the first byte of each request had come. The audit orders by that time in all five rules, and rule one is also broken by what is sent after the answer, or more than 0.1 s after the client left. The emulator's workers read late, too. A mix has payload-bytes. The check of answers is in parts with one job each.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -55,10 +55,16 @@
 	ends    map[string][]int64    // by front end: when its process ended
 }
 
+// leaveMarginNS is for how long something may still be sent for an RPC whose client has left.
+const leaveMarginNS = int64(100e6)
+
 // Check audits records, which may be in any order. Each try of a client counts as an RPC and has the mark "root/try".
 func Check(limits Limits, records []record.Record) Result {
 	a := &auditor{limits: limits, records: slices.Clone(records), pauses: map[string][][2]int64{},
 		ends: map[string][]int64{}}
+	for i := range a.records { // front ends are judged by when they sent something, not by when a worker read it
+		a.records[i].UnixNS = a.records[i].SentNS()
+	}
 	slices.SortStableFunc(a.records, func(x, y record.Record) int { return cmp.Compare(x.UnixNS, y.UnixNS) })
 	for _, r := range a.records {
 		switch r.Kind {
@@ -99,15 +105,28 @@
 	return sum
 }
 
-// checkAnswers checks rule one: every RPC that a running front end received gets exactly one final answer, in time.
+// rpcState is what checkAnswers knows of one RPC.
+type rpcState struct {
+	sent       record.Record
+	answers    int
+	answeredNS int64 // time of the first answer
+	leftNS     int64 // when its client left; 0: it has not
+	closed     bool  // its client left, or the connection was lost
+	done       bool  // its client waits no more
+}
+
+// checkAnswers checks rule one: every RPC that a running front end received gets exactly one final answer, in time, and
+// nothing is sent for it after that.
 func (a *auditor) checkAnswers() {
-	type rpcState struct {
-		sent    record.Record
-		answers int
-		closed  bool // its client left, or the connection was lost
-	}
 	rpcs := map[string]*rpcState{}
 	received := map[string]bool{}
+	waiting := map[joinKey]int{} // RPCs that wait, by what a repeat joins
+	finish := func(state *rpcState) {
+		if !state.done {
+			state.done = true
+			waiting[joinKeyOf(&state.sent)]--
+		}
+	}
 	var marks []string
 	for _, r := range a.records {
 		if r.Kind == record.RequestReceived {
@@ -121,6 +140,11 @@
 			a.result.RPCs++
 			rpcs[r.RPC] = &rpcState{sent: r}
 			marks = append(marks, r.RPC)
+			waiting[joinKeyOf(&r)]++
+		case record.RequestReceived:
+			if state != nil && (r.Token == "" || waiting[joinKeyOf(&state.sent)] == 0) {
+				a.checkSentInTime(&r, state)
+			}
 		case record.RPCAnswered:
 			a.result.Answers++
 			if state == nil {
@@ -129,30 +153,23 @@
 			}
 			if state.answers++; state.answers > 1 {
 				a.violation(1, r.RPC, r.UnixNS, "answer %d of one RPC: %s", state.answers, r.Outcome)
+				continue
 			}
-			due := state.sent.UnixNS + int64(state.sent.DurationMS*float64(nsPerMS)) + a.slack() +
-				a.pausedBetween(state.sent.FrontEnd, state.sent.UnixNS, r.UnixNS)
-			if r.UnixNS > due {
-				a.violation(1, r.RPC, r.UnixNS, "%s from %s %.0f ms after its client's time was up", r.Outcome, state.sent.FrontEnd,
-					float64(r.UnixNS-due+a.slack())/float64(nsPerMS))
-			}
+			state.answeredNS = r.UnixNS
+			finish(state)
+			a.checkAnswerInTime(&r, state)
 		case record.ClientLeft:
 			if state != nil {
-				state.closed = true
+				state.closed, state.leftNS = true, r.UnixNS
+				finish(state)
 			}
 		case record.ConnectionLost:
 			if state == nil {
 				continue
 			}
 			state.closed = true
-			// a front end that was killed need not answer what it had received, and one that exited may not have
-			// received what was sent at that time
-			ended := slices.ContainsFunc(a.ends[r.FrontEnd], func(t int64) bool {
-				return t >= state.sent.UnixNS-a.slack() && t <= r.UnixNS+a.slack()
-			})
-			if !ended && (received[r.RPC] || r.UnixNS > state.sent.UnixNS+a.slack()) {
-				a.violation(1, r.RPC, r.UnixNS, "%s lived and closed the connection without an answer", r.FrontEnd)
-			}
+			finish(state)
+			a.checkConnectionLost(&r, state, received[r.RPC])
 		}
 	}
 	for _, mark := range marks {
@@ -162,6 +179,46 @@
 	}
 }
 
+// joinKey identifies the RPCs that may share one call-out: those of one token at one front end.
+type joinKey struct{ frontEnd, token string }
+
+func joinKeyOf(r *record.Record) joinKey { return joinKey{r.FrontEnd, r.Token} }
+
+// checkAnswerInTime checks that an RPC was answered before its client's time was up.
+func (a *auditor) checkAnswerInTime(answer *record.Record, state *rpcState) {
+	due := state.sent.UnixNS + int64(state.sent.DurationMS*float64(nsPerMS)) + a.slack() +
+		a.pausedBetween(state.sent.FrontEnd, state.sent.UnixNS, answer.UnixNS)
+	if answer.UnixNS > due {
+		a.violation(1, answer.RPC, answer.UnixNS, "%s from %s %.0f ms after its client's time was up", answer.Outcome, state.sent.FrontEnd,
+			float64(answer.UnixNS-due+a.slack())/float64(nsPerMS))
+	}
+}
+
+// checkSentInTime checks that a request was sent to a worker before the answer of its RPC, and no later than the margin
+// after its client left.
+func (a *auditor) checkSentInTime(request *record.Record, state *rpcState) {
+	check := func(sinceNS, marginNS int64, what string) {
+		late := request.UnixNS - sinceNS - marginNS - a.slack() - a.pausedBetween(request.FrontEnd, sinceNS, request.UnixNS)
+		if sinceNS > 0 && late > 0 {
+			a.violation(1, request.RPC, request.UnixNS, "%s sent it to %s %.0f ms after %s", request.FrontEnd, request.Source,
+				float64(request.UnixNS-sinceNS)/float64(nsPerMS), what)
+		}
+	}
+	check(state.answeredNS, 0, "its answer")
+	check(state.leftNS, leaveMarginNS, "its client had left")
+}
+
+// checkConnectionLost checks a connection that ended without an answer. A front end that was killed need not answer
+// what it had received, and one that exited may not have received what was sent at that time.
+func (a *auditor) checkConnectionLost(lost *record.Record, state *rpcState, received bool) {
+	ended := slices.ContainsFunc(a.ends[lost.FrontEnd], func(t int64) bool {
+		return t >= state.sent.UnixNS-a.slack() && t <= lost.UnixNS+a.slack()
+	})
+	if !ended && (received || lost.UnixNS > state.sent.UnixNS+a.slack()) {
+		a.violation(1, lost.RPC, lost.UnixNS, "%s lived and closed the connection without an answer", lost.FrontEnd)
+	}
+}
+
 // provesNotRun reports whether a worker's response with this code proves that the RPC never ran there. The codes are
 // specified in docs/protocol.md.
 func provesNotRun(code int) bool { return code == -32010 || code == -32011 }
--- a/internal/emulate/frontend.go
+++ b/internal/emulate/frontend.go
@@ -317,9 +317,11 @@
 		return
 	}
 	w.at(l.toWorker.deliveryTime(w), func() {
-		if x.alive && l.generation == generation {
-			x.handle(func() { do(x) })
-		}
+		x.read(w.now, func() {
+			if l.generation == generation {
+				do(x)
+			}
+		})
 	})
 }
 
@@ -346,9 +348,11 @@
 	j := &standin.Job{Method: p.Method.Name, Function: p.Function, Token: p.Token, Mark: string(p.Payload), Deadline: w.now + left,
 		Memory: p.Spec.MemoryMB, Lanes: p.Spec.Lanes, LoadTime: p.Spec.LoadTime}
 	l.atWorker(func(x *worker) {
-		sent.job = j
+		if sent.job = j; x.arrivedNS > 0 { // the worker counts the time left from when it reads the request
+			j.Deadline = w.now + left
+		}
 		r := record.Record{Kind: record.RequestReceived, Source: x.settings.Name, FrontEnd: name, RPC: j.Mark, Method: j.Method, Function: j.Function,
-			Token: j.Token}
+			Token: j.Token, ArrivedNS: x.arrivedNS}
 		for i := range x.settings.Work {
 			if x.settings.Work[i].Method == j.Method {
 				r.WorkMS = float64(x.settings.Work[i].Mean) / 10
@@ -401,7 +405,7 @@
 	l.orders = append(l.orders, id)
 	l.atWorker(func(x *worker) {
 		if copies > 0 {
-			w.addRecord(record.Record{Kind: record.LoadOrdered, Source: x.settings.Name, FrontEnd: name, Function: function, N: copies})
+			w.addRecord(record.Record{Kind: record.LoadOrdered, Source: x.settings.Name, FrontEnd: name, Function: function, N: copies, ArrivedNS: x.arrivedNS})
 		}
 		x.model.OrderLoad(orderKey{l, id}, function, copies, fn.MemoryMB, fn.Lanes, fn.LoadTime, func(code, loaded int) {
 			l.atFrontEnd(x, func() {
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -28,7 +28,9 @@
 	timers   eventloop.Timers
 	timer    eventloop.Timer
 	alive    bool
-	links    []*link // of front ends, in the order in which they connected
+	// arrivedNS is when the message that is being handled arrived, in ns of virtual time; 0 if it was read at once.
+	arrivedNS int64
+	links     []*link // of front ends, in the order in which they connected
 }
 
 // startWorker starts a worker and adds it to the roster.
@@ -63,6 +65,19 @@
 	})
 }
 
+// read handles a message that arrived at a time. A worker that hangs reads it when it goes on.
+func (x *worker) read(arrivedAt router.Time, message func()) {
+	if until := x.model.HangsUntil(); x.alive && until > x.w.now {
+		x.w.at(until, func() { x.read(arrivedAt, message) })
+		return
+	}
+	x.arrivedNS = 0
+	if arrivedAt < x.w.now {
+		x.arrivedNS = int64(arrivedAt) * int64(eventloop.Unit)
+	}
+	x.handle(message)
+}
+
 // handle runs an event and the timers that are due in a turn of the worker's event loop.
 func (x *worker) handle(event func()) {
 	if !x.alive {
--- a/internal/jsonrpc/conn.go
+++ b/internal/jsonrpc/conn.go
@@ -17,6 +17,7 @@
 	// NextCodec is called before each message. It returns a function that reads one message in another codec, or nil if
 	// the message is a JSON line. If NextCodec is nil, all messages are JSON lines.
 	NextCodec func() func(in io.Reader) error
+	offset    int64 // see Offset
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -49,6 +50,9 @@
 	c.mu.Unlock()
 }
 
+// Offset returns how many bytes of the stream came before the message that is being handled. A Handler may call it.
+func (c *Conn) Offset() int64 { return c.offset }
+
 // Close closes the connection. Queued messages may be lost.
 func (c *Conn) Close() { c.nc.Close() }
 
@@ -62,6 +66,7 @@
 	var dec Decoder
 	var err error
 	for {
+		c.offset = r.Offset()
 		if c.NextCodec != nil {
 			if next := c.NextCodec(); next != nil { // the other side uses another codec from here on
 				if err = next(r.Remaining()); err != nil {
--- a/internal/jsonrpc/framing.go
+++ b/internal/jsonrpc/framing.go
@@ -23,6 +23,7 @@
 
 // Reader reads JSON values from a stream.
 type Reader struct {
+	source  countingReader
 	in      *bufio.Reader
 	limit   int
 	started bool
@@ -32,9 +33,27 @@
 
 // NewReader returns a Reader of values of up to limit bytes.
 func NewReader(r io.Reader, limit int) *Reader {
-	return &Reader{in: bufio.NewReaderSize(r, 1<<14), limit: limit}
+	reader := &Reader{source: countingReader{in: r}, limit: limit}
+	reader.in = bufio.NewReaderSize(&reader.source, 1<<14)
+	return reader
 }
 
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	in io.Reader
+	n  int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(b []byte) (n int, err error) {
+	n, err = c.in.Read(b)
+	c.n += int64(n)
+	return n, err
+}
+
+// Offset returns how many bytes of the stream have been consumed.
+func (r *Reader) Offset() int64 { return r.source.n - int64(r.in.Buffered()) }
+
 // HasHeaders reports whether the stream's values follow headers. It is valid after the first call of Next.
 func (r *Reader) HasHeaders() bool { return r.headers }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -61,6 +61,17 @@
 	ColdFrom   float64        `json:"cold_from,omitempty"` // the share of its speed that a cold worker starts with
 	Cores      float64        `json:"cores,omitempty"`     // of the worker, times their speed
 	Payload    jsontext.Value `json:"payload,omitempty"`
+	// ArrivedNS is, for what a worker received, when its first byte had reached the worker's socket, in ns since 1970.
+	// It is 0 if the worker read it at once.
+	ArrivedNS int64 `json:"arrived,omitempty"`
+}
+
+// SentNS returns by when what a worker received had been sent.
+func (r *Record) SentNS() int64 {
+	if r.ArrivedNS > 0 {
+		return r.ArrivedNS
+	}
+	return r.UnixNS
 }
 
 // Log writes records to a file. A nil Log discards them. It is safe for concurrent use.
--- a/internal/rehearse/load.go
+++ b/internal/rehearse/load.go
@@ -236,7 +236,11 @@
 	}
 	addRecord, timeoutMs := g.tryRecorder(frontEnd, mark, token, function, m, timeout)
 	params = strconv.AppendFloat(append(params, `,"time_ms":`...), timeoutMs, 'f', 1, 64)
-	params = append(jsonrpc.AppendString(append(params, `,"payload":{"mark":`...), mark), "}}"...)
+	params = jsonrpc.AppendString(append(params, `,"payload":{"mark":`...), mark)
+	if mix.PayloadBytes > 0 {
+		params = jsonrpc.AppendString(append(params, `,"fill":`...), strings.Repeat("x", mix.PayloadBytes))
+	}
+	params = append(params, "}}"...)
 	addRecord(record.RPCSent, "")
 	first := make(chan jsonrpc.Response, 1)
 	var answers atomic.Int32
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -1,6 +1,7 @@
 package rehearse
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -69,7 +70,7 @@
 		return gateway.OutputHooks{Answer: breaker.duplicateAnswer}
 	case "1":
 		return gateway.OutputHooks{Client: func(c engine.Client) engine.Client { return &ruleBreakingClient{Client: c, breaker: breaker} }}
-	case "2", "3", "4", "5":
+	case "1 late", "2", "3", "4", "5":
 		return gateway.OutputHooks{Link: breaker.wrapLink}
 	}
 	return gateway.OutputHooks{}
@@ -81,8 +82,13 @@
 	links       map[string]engine.Link
 	first, last string
 	answers     int
+	held        *engine.RPC // to be sent again
+	heldSince   time.Time
 }
 
+// lateSend is for how long a held RPC is kept: past the deadline of its method and the slack of the audit.
+const lateSend = 1500 * time.Millisecond
+
 func (b *ruleBreaker) wrapLink(name string, l engine.Link) engine.Link {
 	b.links[name], b.last = l, name
 	if b.first == "" {
@@ -121,6 +127,15 @@
 func (l *ruleBreakingLink) Send(id engine.CallOutID, rpc *engine.RPC, clientWait, sendBy router.Time) {
 	b := l.breaker
 	switch b.rule {
+	case "1 late": // sends a call-out again when its client has its answer
+		l.Link.Send(id, rpc, clientWait, sendBy)
+		if now := time.Now(); now.Sub(b.heldSince) > lateSend {
+			if b.held != nil {
+				l.Link.Send(1<<40|id, b.held, clientWait, sendBy)
+			}
+			held := engine.RPC{Method: rpc.Method, Function: rpc.Function, Spec: rpc.Spec, Payload: bytes.Clone(rpc.Payload)}
+			b.held, b.heldSince = &held, now
+		}
 	case "2": // sends side-effecting RPCs to two workers
 		if l.Link.Send(id, rpc, clientWait, sendBy); rpc.Method.Effect == router.SideEffecting {
 			for _, other := range b.links {
@@ -153,7 +168,7 @@
 	for _, c := range []struct {
 		name string
 		rule int
-	}{{"none", 0}, {"1", 1}, {"1 twice", 1}, {"2", 2}, {"3", 3}, {"4", 4}, {"5", 5}} {
+	}{{"none", 0}, {"1", 1}, {"1 twice", 1}, {"1 late", 1}, {"2", 2}, {"3", 3}, {"4", 4}, {"5", 5}} {
 		t.Run(c.name, func(t *testing.T) {
 			s, err := settings.ReadScenario(filepath.Join("testdata", "short.xml"))
 			if err != nil {
@@ -198,3 +213,31 @@
 		})
 	}
 }
+
+// TestNothingIsSentLateToHangingWorker guards against RPCs that wait for a worker that reads nothing, and are sent to it
+// when it goes on, long after their clients have their answers.
+func TestNothingIsSentLateToHangingWorker(t *testing.T) {
+	s, err := settings.ReadScenario(filepath.Join("testdata", "hang.xml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir, err := os.MkdirTemp("", "ml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	outcome, err := Play(context.Background(), s, exe, filepath.Join(dir, "d"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, violation := range outcome.Audit.Violations {
+		t.Errorf("%+v", violation)
+	}
+	if outcome.Audit.CallOuts < 100 || outcome.GainShare() < 0.5 {
+		t.Errorf("%d call-outs, gain kept %.2f", outcome.Audit.CallOuts, outcome.GainShare())
+	}
+}
--- a/internal/settings/scenario.go
+++ b/internal/settings/scenario.go
@@ -130,6 +130,8 @@
 	Share    float64 `a:"share" need:"yes" min:"0" max:"1"`
 	Customer string  `a:"customer"`
 	Protocol string  `a:"front" def:"json-rpc" words:"json-rpc http grpc"`
+	// PayloadBytes is the size of the payload of each RPC over JSON-RPC, beside the mark by which the audit knows it.
+	PayloadBytes int `a:"payload-bytes" def:"0" min:"0" max:"16777216"`
 }
 
 // Callers describes how clients behave.
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -68,6 +68,15 @@
 	return err == nil && n > 0
 }
 
+// Unread returns how many bytes have been received that nobody has read; 0 if that is not known.
+func (s Socket) Unread() (n int) {
+	if s.raw == nil {
+		return 0
+	}
+	_ = s.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	return max(n, 0)
+}
+
 // IsIdle reports whether the connection is open and has no unread bytes.
 func IsIdle(raw syscall.RawConn) bool {
 	_, err := peek(raw)
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -621,9 +621,13 @@
 // Drain makes the worker refuse new RPCs and loads.
 func (m *Model) Drain() { m.draining = true }
 
-// Hang makes the worker accept RPCs and answer none, for the given time.
+// Hang makes the worker answer none of the RPCs that it has, for the given time. What it is sent meanwhile is read
+// later, by whoever drives the model.
 func (m *Model) Hang(span router.Time) { m.hangUntil = m.now + span }
 
+// HangsUntil returns the end of the last hang.
+func (m *Model) HangsUntil() router.Time { return m.hangUntil }
+
 // Slow makes the work of all RPCs take longer by a factor, for the given time.
 func (m *Model) Slow(factor float64, span router.Time) {
 	m.slowFactor, m.slowUntil = factor, m.now+span
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -52,6 +52,7 @@
 	roster       *jsonrpc.Caller
 	end          context.CancelCauseFunc // ends the worker; the cause is what Worker returns
 
+	hangs     hangTimer
 	mu        sync.Mutex
 	frontEnds map[*frontEndConn]bool
 }
@@ -236,13 +237,16 @@
 type frontEndConn struct {
 	requestHandler
 	w      *worker
+	input  *hangingConn
 	name   string          // the front end's; set by the goroutine that reads
 	binary atomic.Bool     // CBOR frames are used in both directions
 	jobs   map[string]*Job // by request id; used on the event loop
 }
 
 func (w *worker) serve(ctx context.Context, nc net.Conn) {
-	h := &frontEndConn{w: w, requestHandler: requestHandler{conn: jsonrpc.NewConn(nc, maxValueBytes)}, jobs: map[string]*Job{}}
+	input := newHangingConn(nc, &w.hangs)
+	input.waitWhileHanging(0) // a process that hangs accepts no connection
+	h := &frontEndConn{w: w, input: input, requestHandler: requestHandler{conn: jsonrpc.NewConn(input, maxValueBytes)}, jobs: map[string]*Job{}}
 	h.conn.NextCodec = func() func(io.Reader) error {
 		if !h.binary.Load() {
 			return nil
@@ -352,7 +356,8 @@
 		})
 	case "host.hold":
 		if copies > 0 {
-			w.addRecord(record.Record{Kind: record.LoadOrdered, Source: w.cfg.Name, FrontEnd: h.name, Function: j.Function, N: int(copies)})
+			w.addRecord(record.Record{Kind: record.LoadOrdered, Source: w.cfg.Name, FrontEnd: h.name, Function: j.Function, N: int(copies),
+				ArrivedNS: h.arrivedNS()})
 		}
 		w.loop.Post(func() {
 			w.model.OrderLoad(string(requestID), j.Function, int(copies), j.Memory, j.Lanes, j.LoadTime, func(code, loaded int) {
@@ -387,12 +392,15 @@
 	}
 }
 
+// arrivedNS returns when the message that is being handled had arrived; 0 if it was read at once.
+func (h *frontEndConn) arrivedNS() int64 { return h.input.arrivedNS(h.conn.Offset()) }
+
 // register records a received request, and sets j.Done to send the response.
 func (h *frontEndConn) register(requestID []byte, j *Job) {
 	w := h.w
 	j.Mark = clientMark(j.Payload)
 	r := requestRecord(j, h.name)
-	r.Source = w.cfg.Name
+	r.Source, r.ArrivedNS = w.cfg.Name, h.arrivedNS()
 	if m := w.model.work[j.Method]; m != nil {
 		r.WorkMS = float64(m.Mean) / 10
 	}
@@ -560,7 +568,10 @@
 	case "fault.crash":
 		inject = func() { w.end(errors.New("crash injected by the control socket")) }
 	case "fault.hang":
-		inject = func() { w.model.Hang(span) }
+		inject = func() {
+			w.model.Hang(span)
+			w.hangs.hang(eventloop.ToDuration(span))
+		}
 	case "fault.slow":
 		inject = func() { w.model.Slow(size, span) }
 	case "fault.errors":
