Go client: a call ends with its context, and what it has not sent by then is never sent

Seen by callers: while a front end read nothing, Client.Call went on past the end of its context, and its RPC, with the time left of when it was called, was sent when the front end read on. Cause: the request was encoded first and then waited for the connection's lock behind another write; nothing asked the context again. Change: a request waits for its turn no longer than its context and is encoded when it is its turn; without a byte written the error is ErrUnsent. The connection moves into a file of its own.

--- a/client/client.go
+++ b/client/client.go
@@ -20,8 +20,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-json-experiment/json/jsontext"
-
 	"mallowlanding/internal/jsonrpc"
 )
 
@@ -160,29 +158,26 @@
 	if err != nil {
 		return nil, err
 	}
-	id, answerCh, err := conn.send(r.Method, encodeParams(ctx, r, repeat))
-	if err != nil {
+	id, answerCh := conn.expect()
+	if err := conn.send(ctx, []string{id}, func() []byte { return appendRequest(ctx, nil, id, r, repeat) }); err != nil {
 		return nil, err
 	}
 	select {
 	case a := <-answerCh:
 		return a.value, a.err
 	case <-ctx.Done():
-		conn.cancel(id)
-		select { // the front end still sends the answer of an RPC that was cancelled or whose time is up
-		case a := <-answerCh:
-			if a.err == nil {
-				return a.value, nil
-			}
-			return nil, errors.Join(ctx.Err(), a.err)
-		case <-time.After(cancelTimeout):
-			return nil, errors.Join(ctx.Err(), ErrLost)
-		}
 	}
+	a := conn.cancel(id, answerCh)
+	if a.err == nil {
+		return a.value, nil
+	}
+	return nil, errors.Join(ctx.Err(), a.err)
 }
 
-// cancelTimeout bounds the wait for the answer to a cancelled RPC.
-const cancelTimeout = time.Second
+// appendRequest appends an RPC as it is sent now.
+func appendRequest(ctx context.Context, out []byte, id string, r RPC, repeat bool) []byte {
+	return jsonrpc.AppendRequest(out, jsonrpc.ID(id), r.Method, encodeParams(ctx, r, repeat))
+}
 
 func encodeParams(ctx context.Context, r RPC, repeat bool) []byte {
 	b := jsonrpc.AppendString([]byte(`{"function":`), r.Function)
@@ -227,36 +222,40 @@
 	if err != nil {
 		return fail(err)
 	}
-	batch := []byte{'['}
 	ids, answerChs := make([]string, len(rpcs)), make([]chan answer, len(rpcs))
-	for i, r := range rpcs {
+	for i := range rpcs {
 		ids[i], answerChs[i] = conn.expect()
-		if i > 0 {
-			batch = append(batch, ',')
-		}
-		batch = jsonrpc.AppendRequest(batch, jsonrpc.ID(ids[i]), r.Method, encodeParams(ctx, r, false))
 	}
-	if err := conn.write(append(batch, ']')); err != nil {
-		conn.forget(ids...)
+	if err := conn.send(ctx, ids, func() []byte { return encodeBatch(ctx, ids, rpcs) }); err != nil {
 		return fail(err)
 	}
 	for i := range answerChs {
 		select {
 		case a := <-answerChs[i]:
 			out[i] = Result{a.value, a.err}
+			continue
 		case <-ctx.Done():
-			conn.cancel(ids[i])
-			select {
-			case a := <-answerChs[i]:
-				out[i] = Result{a.value, a.err}
-			case <-time.After(cancelTimeout):
-				out[i].Err = errors.Join(ctx.Err(), ErrLost)
-			}
+		}
+		a := conn.cancel(ids[i], answerChs[i])
+		if out[i] = (Result{a.value, a.err}); errors.Is(a.err, ErrLost) {
+			out[i].Err = errors.Join(ctx.Err(), a.err)
 		}
 	}
 	return out
 }
 
+// encodeBatch returns RPCs as one JSON-RPC batch, as it is sent now.
+func encodeBatch(ctx context.Context, ids []string, rpcs []RPC) []byte {
+	batch := []byte{'['}
+	for i, r := range rpcs {
+		if i > 0 {
+			batch = append(batch, ',')
+		}
+		batch = appendRequest(ctx, batch, ids[i], r, false)
+	}
+	return append(batch, ']')
+}
+
 // connect returns the current connection if it still works. Otherwise it opens a new one, to the first front end that
 // accepts it, starting with the current one.
 func (c *Client) connect(ctx context.Context) (*conn, error) {
@@ -276,7 +275,7 @@
 			dialErr = errors.Join(dialErr, err)
 			continue
 		}
-		connection := &conn{nc: nc, pending: map[string]chan answer{}}
+		connection := newConn(nc)
 		c.conn, c.current = connection, index
 		go connection.read(c.options.Limit)
 		return connection, nil
@@ -284,141 +283,3 @@
 	c.current++
 	return nil, errors.Join(ErrUnsent, dialErr)
 }
-
-type answer struct {
-	value []byte
-	err   error
-}
-
-// conn is a connection to a front end.
-type conn struct {
-	jsonrpc.IgnoreBatches
-	nc net.Conn
-
-	writing sync.Mutex // held during a write
-
-	mu      sync.Mutex
-	lastID  uint64
-	pending map[string]chan answer
-	ended   error // why nothing more can be sent
-}
-
-func (c *conn) hasEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended != nil
-}
-
-// expect assigns the id of a request, and returns the channel that will receive its answer.
-func (c *conn) expect() (id string, answerCh chan answer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastID++
-	id, answerCh = strconv.FormatUint(c.lastID, 10), make(chan answer, 1)
-	if c.ended != nil {
-		answerCh <- answer{err: ErrUnsent}
-		return id, answerCh
-	}
-	c.pending[id] = answerCh
-	return id, answerCh
-}
-
-func (c *conn) forget(ids ...string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, id := range ids {
-		delete(c.pending, id)
-	}
-}
-
-func (c *conn) send(method string, params []byte) (id string, answerCh chan answer, err error) {
-	id, answerCh = c.expect()
-	if err := c.write(jsonrpc.AppendRequest(nil, jsonrpc.ID(id), method, params)); err != nil {
-		c.forget(id)
-		return "", nil, err
-	}
-	return id, answerCh, nil
-}
-
-// write sends a value. The error is ErrUnsent if not a byte of it was written, and ErrLost if some were.
-func (c *conn) write(value []byte) error {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	n, err := c.nc.Write(append(value, '\n'))
-	if err == nil {
-		return nil
-	}
-	c.mu.Lock()
-	if c.ended == nil {
-		c.ended = err // nothing more is sent on this connection; RPCs in flight may still be answered
-	}
-	c.mu.Unlock()
-	if n == 0 {
-		return errors.Join(ErrUnsent, err)
-	}
-	return errors.Join(ErrLost, err)
-}
-
-func (c *conn) cancel(id string) {
-	_ = c.write(jsonrpc.AppendRequest(nil, nil, "rpc.cancel", []byte(`{"id":`+id+`}`)))
-}
-
-func (c *conn) read(limit int) {
-	r := jsonrpc.NewReader(c.nc, limit)
-	var dec jsonrpc.Decoder
-	var err error
-	for err == nil {
-		var value []byte
-		if value, err = r.Next(); err == nil {
-			dec.Decode(value, c)
-		}
-	}
-	c.nc.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = err
-	for id, answerCh := range c.pending {
-		delete(c.pending, id)
-		answerCh <- answer{err: errors.Join(ErrLost, err)}
-	}
-}
-
-// HandleRequest implements jsonrpc.Handler. Front ends send no requests to clients.
-func (c *conn) HandleRequest(jsonrpc.ID, string, []byte) {}
-
-// HandleInvalid implements jsonrpc.Handler.
-func (c *conn) HandleInvalid(jsonrpc.ID, int, string) { c.nc.Close() }
-
-// HandleResponse implements jsonrpc.Handler.
-func (c *conn) HandleResponse(id jsonrpc.ID, result []byte, code int, message string, data []byte) {
-	a := answer{}
-	switch code {
-	case 0:
-		a.value = append([]byte(nil), result...)
-	case -32001:
-		ms, _ := jsonrpc.ParseNumber(jsontext.Value(jsonrpc.Member(data, "come_back_ms")))
-		a.err = &Denied{message, time.Duration(ms * float64(time.Millisecond))}
-	case -32002:
-		cause, _ := jsonrpc.ParseString(jsonrpc.Member(data, "cause"))
-		a.err = &Aborted{cause}
-	default:
-		a.err = &Refused{code, message}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if string(id) == "null" {
-		if code != -32001 && code != -32003 { // there is no way to know which RPC the error is for
-			c.nc.Close()
-			return
-		}
-		for pendingID, answerCh := range c.pending { // the front end refused the connection: RPCs in flight on it never ran
-			delete(c.pending, pendingID)
-			answerCh <- a
-		}
-		return
-	}
-	if answerCh := c.pending[string(id)]; answerCh != nil {
-		delete(c.pending, string(id))
-		answerCh <- a
-	}
-}
