Node client: an RPC that is unsent when its caller leaves or its time is up is never sent

Seen by callers: while a front end read nothing, RPCs were kept in the socket's buffer with the time left of when they were called, and sent when it read on, after their signals had been aborted; such calls did not end before that. Cause: each message was handed to the socket at once, whose buffer has no bound and can't be taken from. A signal aborted while the connection was made was not noticed at all. Change: sendqueue.ts hands a message to the socket only when the operating system has taken all before it, and encodes it then. Unsent RPCs end with Unsent when their signal is aborted or their time is up. The Go client's test waits for the close instead of a time.

--- a/client/unsent_test.go
+++ b/client/unsent_test.go
@@ -167,7 +167,9 @@
 	if err := <-ended; !errors.Is(err, ErrLost) || !errors.Is(err, context.Canceled) {
 		t.Errorf("ended with %v", err)
 	}
-	time.Sleep(3 * restTimeout)
+	for deadline := time.Now().Add(5 * time.Second); !c.conn.hasEnded() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 	nc := <-f.conns
 	r, readErr := io.ReadAll(nc)
 	if readErr != nil || strings.HasSuffix(string(r), "\n") {
--- a/clients/node/src/client.ts
+++ b/clients/node/src/client.ts
@@ -7,6 +7,7 @@
 
 import { createConnection, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { SendQueue, type Outgoing } from "./sendqueue.js";
 
 /** Which RPCs of a method may run twice. */
 export interface Effect {
@@ -53,7 +54,7 @@
 export class Refused extends Error {
   constructor(readonly code: number, message: string) { super(`${message} (${code})`); this.name = "Refused"; }
 }
-/** The RPC was not sent, since no front end could be reached: it never ran. */
+/** The RPC was not sent, since no front end could be reached, or none took it before the caller left: it never ran. */
 export class Unsent extends Error {
   constructor(message: string) { super("not sent: " + message); this.name = "Unsent"; }
 }
@@ -62,6 +63,8 @@
   constructor(message: string) { super("connection lost, it may have run: " + message); this.name = "Lost"; }
 }
 
+/** A request that has been queued for a connection, with the ids of the RPCs that it holds. */
+interface SentRequest { ids: number[]; message: Outgoing; timer?: NodeJS.Timeout }
 interface PendingCall { resolve(value: unknown): void; reject(err: Error): void }
 interface Message { id?: string | number | null; result?: unknown; error?: { code: number; message: string; data?: Record<string, unknown> } }
 
@@ -84,9 +87,11 @@
   private lastId = 0;
   private readonly pending = new Map<number, PendingCall>();
   private partialLine: Buffer[] = [];
+  private readonly queue: SendQueue;
   ended?: Error;
 
   constructor(private readonly socket: Socket) {
+    this.queue = new SendQueue(socket);
     socket.on("data", (data: Buffer) => this.read(data));
     socket.on("error", (err) => this.end(err));
     socket.on("close", () => this.end(new Error("closed")));
@@ -112,9 +117,36 @@
     return { id, answer };
   }
 
-  write(value: unknown): void { if (!this.ended) this.socket.write(JSON.stringify(value) + "\n"); }
+  /**
+   * Sends RPCs with the given ids, which expect has assigned, as encode returns them when they are sent. If they are
+   * unsent when their time in ms is up, they end with Unsent.
+   */
+  send(ids: number[], encode: () => unknown, timeMs?: number): SentRequest {
+    const message = { encode };
+    const request: SentRequest = { ids, message };
+    if (this.ended) return request;
+    this.queue.add(message);
+    if (timeMs !== undefined && this.queue.state(message) !== "sent") {
+      request.timer = setTimeout(() => this.withdraw(request, "its time was up"), timeMs).unref();
+    }
+    return request;
+  }
 
-  cancel(id: number): void { this.write({ jsonrpc: "2.0", method: "rpc.cancel", params: { id } }); }
+  /** Has a request not sent any more if it is unsent; else the front end is told to cancel it. */
+  cancel(request: SentRequest): void {
+    if (this.withdraw(request, "cancelled")) return;
+    for (const id of request.ids) this.queue.add({ encode: () => ({ jsonrpc: "2.0", method: "rpc.cancel", params: { id } }) });
+  }
+
+  /** Reports whether the request was unsent: its RPCs end with Unsent. */
+  private withdraw(request: SentRequest, reason: string): boolean {
+    clearTimeout(request.timer);
+    const state = this.queue.withdraw(request.message);
+    if (state === "begun") this.queue.closeUnlessWritten(request.message);
+    if (state !== "unsent") return false;
+    for (const id of request.ids) this.takeCall(id)?.reject(new Unsent(reason));
+    return true;
+  }
 
   close(): void { this.socket.destroy(); }
 
@@ -141,11 +173,15 @@
       else this.socket.destroy(err);
       return;
     }
-    const call = this.pending.get(m.id as number);
-    if (!call) return;
-    this.pending.delete(m.id as number);
-    if (m.error) call.reject(toError(m.error));
-    else call.resolve(m.result);
+    const call = this.takeCall(m.id as number);
+    if (m.error) call?.reject(toError(m.error));
+    else call?.resolve(m.result);
+  }
+
+  private takeCall(id: number): PendingCall | undefined {
+    const call = this.pending.get(id);
+    this.pending.delete(id);
+    return call;
   }
 
   private takePending(): PendingCall[] {
@@ -202,18 +238,27 @@
     if (rpcs.length === 0) return [];
     const c = await this.connect();
     const parts = rpcs.map((rpc) => ({ rpc, ...c.expect() }));
-    c.write(parts.map(({ rpc, id }) => buildRequest(id, rpc, false)));
+    const queuedAt = performance.now();
+    c.send(parts.map(({ id }) => id), () => parts.map(({ rpc, id }) => buildRequest(id, rpc, false, performance.now() - queuedAt)),
+      longestTime(rpcs));
     return Promise.allSettled(parts.map((p) => p.answer));
   }
 
   private async sendOnce(rpc: RPC, repeat: boolean): Promise<unknown> {
     rpc.signal?.throwIfAborted();
     const c = await this.connect();
+    if (rpc.signal?.aborted) throw new Unsent("cancelled");
     const { id, answer } = c.expect();
-    c.write(buildRequest(id, rpc, repeat));
-    const cancel = () => c.cancel(id); // its final answer still comes
+    const queuedAt = performance.now();
+    const request = c.send([id], () => buildRequest(id, rpc, repeat, performance.now() - queuedAt), rpc.timeMs);
+    const cancel = () => c.cancel(request); // the final answer of an RPC that has been sent still comes
     rpc.signal?.addEventListener("abort", cancel, { once: true });
-    try { return await answer; } finally { rpc.signal?.removeEventListener("abort", cancel); }
+    try {
+      return await answer;
+    } finally {
+      clearTimeout(request.timer);
+      rpc.signal?.removeEventListener("abort", cancel);
+    }
   }
 
   private async connect(): Promise<Connection> {
@@ -246,11 +291,19 @@
   }
 }
 
-function buildRequest(id: number, rpc: RPC, repeat: boolean): unknown {
+/** Returns the longest time of the RPCs in ms, or undefined if one has none. */
+function longestTime(rpcs: RPC[]): number | undefined {
+  const times = rpcs.map((rpc) => rpc.timeMs);
+  return times.includes(undefined) ? undefined : Math.max(...(times as number[]));
+}
+
+/** Builds the request of an RPC that has waited for some ms to be sent. */
+function buildRequest(id: number, rpc: RPC, repeat: boolean, waitedMs: number): unknown {
+  const timeMs = rpc.timeMs === undefined ? undefined : Math.max(0, rpc.timeMs - waitedMs);
   return {
     jsonrpc: "2.0", id, method: rpc.method,
     params: {
-      function: rpc.function, customer: rpc.customer, token: rpc.token, time_ms: rpc.timeMs,
+      function: rpc.function, customer: rpc.customer, token: rpc.token, time_ms: timeMs,
       repeat: repeat || undefined, payload: rpc.payload,
     },
   };
--- a/clients/node/test/client.test.ts
+++ b/clients/node/test/client.test.ts
@@ -5,7 +5,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Aborted, Client, Denied, Lost, Refused, Unsent } from "../src/client.js";
+import { restTimeoutMs } from "../src/sendqueue.js";
 
 // A scripted front end; each test says how it responds to requests.
 type Request = { id: number; method: string; params: Record<string, unknown> };
@@ -120,3 +122,80 @@
   await assert.rejects(c.call({ method: "query", function: "f" }), Unsent);
   await c.close();
 });
+
+// A front end that reads nothing until the test has it go on.
+async function startSilentFrontEnd(name: string, onRequest: (request: Request, socket: Socket) => void) {
+  const f = await startFrontEnd(name, onRequest);
+  f.server.prependListener("connection", (socket: Socket) => socket.pause());
+  f.server.on("connection", (socket: Socket) => socket.pause());
+  return { ...f, goOn: () => { for (const socket of f.sockets) socket.resume(); } };
+}
+const large = "x".repeat(1 << 20); // no socket takes it at once
+
+// Guards against RPCs that wait while the front end reads nothing, and are sent when it reads on although their callers
+// have left or their time is up.
+test("an RPC that was not sent when its caller left or its time was up is never sent", async () => {
+  const seen: string[] = [], times: unknown[] = [];
+  const f = await startSilentFrontEnd("silent", (request, s) => {
+    seen.push(String(request.params["function"] ?? request.method));
+    times.push(request.params["time_ms"]);
+    if (request.id) result(s, request.id, "ok");
+  });
+  const c = new Client({ sockets: [f.path] });
+  const first = c.call({ method: "m", function: "first", payload: large });
+  await sleep(30);
+  const controller = new AbortController();
+  const cancelled = c.call({ method: "m", function: "cancelled", signal: controller.signal });
+  const late = c.call({ method: "m", function: "late", timeMs: 40 });
+  const lateBatch = c.batch([{ method: "m", function: "late batch", timeMs: 40 }]);
+  const last = c.call({ method: "m", function: "last", timeMs: 60_000 });
+  await sleep(20);
+  controller.abort();
+  await assert.rejects(cancelled, Unsent);
+  await assert.rejects(late, Unsent);
+  assert.equal((await lateBatch)[0]?.status, "rejected");
+  f.goOn();
+  assert.equal(await first, "ok");
+  assert.equal(await last, "ok");
+  await sleep(30);
+  assert.deepEqual(seen, ["first", "last"]);
+  assert.ok((times[1] as number) < 60_000 - 30, `time_ms is ${String(times[1])}`);
+  await c.close();
+});
+
+test("an RPC whose caller left while the connection was made is never sent", async () => {
+  const seen: string[] = [];
+  const f = await startFrontEnd("connecting", (request) => seen.push(request.method));
+  const c = new Client({ sockets: [f.path] });
+  const controller = new AbortController();
+  const call = c.call({ method: "m", function: "f", signal: controller.signal });
+  controller.abort();
+  await assert.rejects(call, Unsent);
+  await sleep(30);
+  assert.deepEqual(seen, []);
+  await c.close();
+});
+
+// The rest of a message would otherwise be sent whenever the front end reads on.
+test("a half-written RPC whose caller left: the rest follows at once with a cancellation, or the connection closes", async (t) => {
+  const seen: string[] = [];
+  const f = await startSilentFrontEnd("half", (request, s) => {
+    seen.push(request.method);
+    if (request.id) error(s, request.id, -32002, { cause: "cancelled" });
+  });
+  t.mock.timers.enable({ apis: ["setTimeout"] }); // the time in which the rest must be taken passes when the test says so
+  for (const goesOn of [true, false]) {
+    const c = new Client({ sockets: [f.path] });
+    const controller = new AbortController();
+    const ended = assert.rejects(c.call({ method: "m", function: "f", payload: large, signal: controller.signal }), goesOn ? Aborted : Lost);
+    await sleep(30);
+    controller.abort();
+    if (goesOn) f.goOn();
+    else t.mock.timers.tick(restTimeoutMs);
+    await ended;
+    f.goOn();
+    await sleep(30);
+    await c.close();
+  }
+  assert.deepEqual(seen, ["m", "rpc.cancel"]);
+});
