Roster: lists are applied while the roster reads no acknowledgments

Change: an acknowledgment replaces one that waits; the last version is enough, since versions are applied in order.

--- a/internal/rosterwatch/watcher.go
+++ b/internal/rosterwatch/watcher.go
@@ -262,7 +262,7 @@
 	handler := &connHandler{watcher: w, acks: make(chan uint64, 1)}
 	done := make(chan struct{})
 	defer func() { nc.Close(); close(handler.acks); <-done }()
-	go func() { defer close(done); acknowledge(nc, handler.acks) }()
+	go func() { defer close(done); sendAcks(nc, handler.acks) }()
 	for handler.err == nil {
 		value, err := r.Next()
 		if err != nil {
@@ -273,9 +273,9 @@
 	return handler.listReceived, handler.err
 }
 
-// acknowledge sends the roster each version that has been applied. Of several, the last one would be enough, because
+// sendAcks sends the roster versions that have been applied. Of several that wait the last one is enough, because
 // versions are applied in order.
-func acknowledge(nc net.Conn, versions <-chan uint64) {
+func sendAcks(nc net.Conn, versions <-chan uint64) {
 	for version := range versions {
 		params := append(strconv.AppendUint([]byte(`{"version":`), version, 10), '}')
 		value := jsonrpc.AppendFrame(nil, jsonrpc.AppendRequest(nil, nil, "roster.told", params), false)
@@ -345,7 +345,17 @@
 		return
 	}
 	<-applied // the acknowledgment means that the version is in effect
-	h.acks <- uint64(version)
+	h.acknowledge(uint64(version))
+}
+
+// acknowledge has a version sent to the roster in place of an earlier one that waits. A roster that reads slowly must not
+// keep lists from being applied.
+func (h *connHandler) acknowledge(version uint64) {
+	select {
+	case <-h.acks:
+	default:
+	}
+	h.acks <- version // has room, since only this goroutine adds to it
 }
 
 func checkList(workers []entry) error {
