Links to workers follow a new configuration's connect timeout and pause, and scan waiting requests when one may end

Cause: the links kept the connect timeout that the process was started with, which now also bounds how long a request waits for its first byte; and each turn looked at every request that waited for a worker that reads nothing. Change: workerlink.Limits are replaced when a configuration is applied; the queue keeps a time until which nothing in it ends.

--- a/internal/gateway/configured.go
+++ b/internal/gateway/configured.go
@@ -24,6 +24,7 @@
 	"mallowlanding/internal/lastgood"
 	"mallowlanding/internal/rosterwatch"
 	"mallowlanding/internal/settings"
+	"mallowlanding/internal/workerlink"
 	"mallowlanding/router"
 )
 
@@ -45,6 +46,7 @@
 
 	engine       *engine.Engine
 	dispatcher   *dispatch.Dispatcher
+	links        *workerlink.Set
 	watcher      *rosterwatch.Watcher
 	server       *clients.Server
 	kserve       *kserve.Server
@@ -103,8 +105,9 @@
 // start sets the components to which new versions are applied, opens the listeners of the saved configuration, and
 // connects to the control service.
 func (c *liveConfig) start(backgroundCtx, clientsCtx context.Context, backgroundGroup, clientsGroup *errgroup.Group, eng *engine.Engine,
-	dispatcher *dispatch.Dispatcher, watcher *rosterwatch.Watcher, server *clients.Server, kserveServer *kserve.Server) {
-	c.engine, c.dispatcher, c.watcher, c.server, c.kserve, c.clientsCtx, c.clientsGroup = eng, dispatcher, watcher, server, kserveServer, clientsCtx, clientsGroup
+	dispatcher *dispatch.Dispatcher, links *workerlink.Set, watcher *rosterwatch.Watcher, server *clients.Server, kserveServer *kserve.Server) {
+	c.engine, c.dispatcher, c.links, c.watcher, c.server, c.kserve = eng, dispatcher, links, watcher, server, kserveServer
+	c.clientsCtx, c.clientsGroup = clientsCtx, clientsGroup
 	if c.configClient == nil {
 		return
 	}
@@ -287,6 +290,7 @@
 		began := time.Now()
 		c.engine.UpdateSettings(routerSettings, parsed, methods)
 		c.dispatcher.UpdateSettings(service, frontEnd.LimitSettings())
+		c.links.UpdateLimits(linkLimits(frontEnd))
 		if c.kserve != nil {
 			c.kserve.UpdateSettings(models)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,9 +154,7 @@
 	loopCtx, cancelLoop := context.WithCancel(context.Background())
 	defer cancelLoop()
 
-	linkSet := workerlink.New(backgroundCtx, loop, eng, workerlink.Options{FrontEnd: frontEnd.Name,
-		ConnectTimeout: eventloop.ToDuration(frontEnd.Service.CallOuts.ConnectTimeout), ValueBytes: frontEnd.Workers.ValueBytes,
-		MaxPause:    eventloop.ToDuration(router.MaxPause(frontEnd.RouterSettings())),
+	linkSet := workerlink.New(backgroundCtx, loop, eng, workerlink.Options{FrontEnd: frontEnd.Name, Limits: linkLimits(frontEnd), ValueBytes: frontEnd.Workers.ValueBytes,
 		QueuedBytes: frontEnd.Workers.SendBytes, RedialMin: eventloop.ToDuration(frontEnd.Workers.RedialMin),
 		RedialMax: eventloop.ToDuration(frontEnd.Workers.RedialMax), WrapLink: hooks.Link, Log: log})
 	watcher := rosterwatch.New(loop, eng, linkSet, live.watcherOptions(frontEnd, live.savedConfig))
@@ -184,7 +182,7 @@
 	if err != nil {
 		failures <- err
 	}
-	live.start(backgroundCtx, clientsCtx, &backgroundGroup, &clientsGroup, eng, dispatcher, watcher, server, kserveServer)
+	live.start(backgroundCtx, clientsCtx, &backgroundGroup, &clientsGroup, eng, dispatcher, linkSet, watcher, server, kserveServer)
 	log.Info().Str("socket", frontEnd.Clients.Socket).Int("number", frontEnd.Number).Int("of", frontEnd.FrontEnds).Msg("front end takes RPCs")
 	if ready != nil {
 		ready()
@@ -262,6 +260,12 @@
 	return err
 }
 
+// linkLimits returns the limits of the links to workers.
+func linkLimits(frontEnd *settings.FrontEnd) workerlink.Limits {
+	return workerlink.Limits{ConnectTimeout: eventloop.ToDuration(frontEnd.Service.CallOuts.ConnectTimeout),
+		MaxPause: eventloop.ToDuration(router.MaxPause(frontEnd.RouterSettings()))}
+}
+
 // serveKServe starts the KServe server, if the settings have one, on the listeners taken over or on new ones. It
 // returns the server and its listeners.
 func serveKServe(ctx context.Context, takenOver []handover.Listener, frontEnd *settings.FrontEnd, backgroundGroup, clientsGroup *errgroup.Group, loop *eventloop.Loop,
--- a/internal/outbound/queue.go
+++ b/internal/outbound/queue.go
@@ -24,7 +24,8 @@
 // Message is a message for a worker, of one request or of several that are answered each on its own.
 type Message struct {
 	Requests []Request
-	// AppendTo appends the message as it is sent at the time now, with those of its requests that are still wanted.
+	// AppendTo appends the message as it is sent at the time now, with those of its requests that are still wanted. It
+	// must not keep ids.
 	AppendTo func(out []byte, now router.Time, ids []string) []byte
 }
 
@@ -45,9 +46,12 @@
 	removed  int        // messages without requests in the middle of the queue
 	unsent   map[string]*Message
 	bytes    int // sizes of the requests that have not been begun
-	dropped  []Dropped
+	// validUntil is a time until which no conditions end to hold, pauses of the process aside.
+	validUntil router.Time
+	dropped    []Dropped
 
 	buffer []byte     // what Next returned
+	ids    []string   // of the message that is encoded
 	ends   []int      // where the messages of buffer end
 	begun  []*Message // the messages of buffer
 	rest   []byte     // the rest of the message in progress; part of buffer or a greeting
@@ -57,7 +61,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(pauses *PauseDetector) *Queue {
-	return &Queue{pauses: pauses, unsent: map[string]*Message{}}
+	return &Queue{pauses: pauses, unsent: map[string]*Message{}, validUntil: math.MaxInt64}
 }
 
 // Greet has bytes written before all messages. It must be called before the first call of Next.
@@ -72,6 +76,7 @@
 		}
 	}
 	q.messages = append(q.messages, m)
+	q.expectExpiry(m)
 }
 
 // Bytes returns the approximate number of bytes that wait.
@@ -94,11 +99,11 @@
 		if q.check(m, now); len(m.Requests) == 0 {
 			continue
 		}
-		ids := make([]string, len(m.Requests))
+		q.ids = q.ids[:0]
 		for i := range m.Requests {
-			ids[i] = m.Requests[i].ID
+			q.ids = append(q.ids, m.Requests[i].ID)
 		}
-		q.buffer = m.AppendTo(q.buffer, now, ids)
+		q.buffer = m.AppendTo(q.buffer, now, q.ids)
 		q.ends, q.begun = append(q.ends, len(q.buffer)), append(q.begun, m)
 		if len(q.buffer) >= chunkBytes {
 			break
@@ -122,25 +127,31 @@
 			break
 		}
 		end := q.ends[i]
-		ids := q.begin(m)
 		if n < end {
-			q.rest, q.open, q.wanted = q.buffer[n:end], ids, true
+			q.rest, q.open, q.wanted = q.buffer[n:end], idsOf(m), true
 		}
+		q.begin(m)
 		start = end
 	}
 	q.ends, q.begun = q.ends[:0], q.begun[:0]
 }
 
-// begin removes the first message that has requests, which is m, from the queue and returns its requests.
-func (q *Queue) begin(m *Message) (ids []string) {
+func idsOf(m *Message) []string {
+	ids := make([]string, len(m.Requests))
+	for i := range m.Requests {
+		ids[i] = m.Requests[i].ID
+	}
+	return ids
+}
+
+// begin removes the first message that has requests, which is m, from the queue.
+func (q *Queue) begin(m *Message) {
 	for _, r := range m.Requests {
 		q.forget(r)
-		ids = append(ids, r.ID)
 	}
 	m.Requests = nil
 	q.removed++
 	q.trimFront()
-	return ids
 }
 
 func (q *Queue) forget(r Request) {
@@ -243,26 +254,32 @@
 	q.compact()
 }
 
-// Expire drops the requests whose conditions no longer hold.
+// Expire drops the requests whose conditions no longer hold. After a pause of the process it may leave that to Next.
 func (q *Queue) Expire(now router.Time) {
+	if now <= q.validUntil {
+		return
+	}
+	q.validUntil = math.MaxInt64
 	for _, m := range q.messages {
 		q.check(m, now)
+		q.expectExpiry(m)
 	}
 	q.compact()
 }
 
-// NextExpiry returns when Expire has something to drop; false: not before another message is added.
-func (q *Queue) NextExpiry() (due router.Time, ok bool) {
-	last := router.Time(math.MaxInt64)
-	for _, m := range q.messages {
-		for i := range m.Requests {
-			last = min(last, m.Requests[i].Conditions.validUntil())
-		}
+// expectExpiry has Expire look at the queue when the conditions of m end to hold.
+func (q *Queue) expectExpiry(m *Message) {
+	for i := range m.Requests {
+		q.validUntil = min(q.validUntil, m.Requests[i].Conditions.validUntil())
 	}
-	if last == math.MaxInt64 {
+}
+
+// NextExpiry returns when Expire should be called next; false: not before another message is added.
+func (q *Queue) NextExpiry() (due router.Time, ok bool) {
+	if q.validUntil == math.MaxInt64 || q.Empty() {
 		return 0, false
 	}
-	return last + 1, true
+	return q.validUntil + 1, true
 }
 
 // TakeDropped returns the requests that were dropped since the last call.
--- a/internal/rosterwatch/watcher_test.go
+++ b/internal/rosterwatch/watcher_test.go
@@ -38,7 +38,7 @@
 	scripted := &routingtest.Router{}
 	e := engine.New(engine.Options{Settings: router.Settings{}, Now: loop.Now(), Log: func(string) {}, NewRouter: scripted.Factory})
 	ctx, stop := context.WithCancel(context.Background())
-	links := workerlink.New(ctx, loop, e, workerlink.Options{ConnectTimeout: time.Second, RedialMin: time.Second, RedialMax: time.Second,
+	links := workerlink.New(ctx, loop, e, workerlink.Options{Limits: workerlink.Limits{ConnectTimeout: time.Second}, RedialMin: time.Second, RedialMax: time.Second,
 		Log: zerolog.Nop()})
 	w = New(loop, e, links, Options{FrontEnd: "front", Sockets: []string{socket}, Zone: func(string) router.ZoneID { return 0 },
 		Cell: func(string) router.CellID { return 0 }, Kind: func(string) router.KindID { return 0 }, Log: zerolog.Nop()})
--- a/internal/workerlink/conn.go
+++ b/internal/workerlink/conn.go
@@ -44,14 +44,14 @@
 
 // connect opens a connection and reads from it to its end. ready reports whether the worker became ready on it.
 func (l *Link) connect() (ready bool, err error) {
-	conn, err := (&net.Dialer{Timeout: l.set.opts.ConnectTimeout}).DialContext(l.ctx, "unix", l.socket)
+	conn, err := (&net.Dialer{Timeout: l.set.connectTime()}).DialContext(l.ctx, "unix", l.socket)
 	if err != nil {
 		return false, err
 	}
 	stop := context.AfterFunc(l.ctx, func() { conn.Close() })
 	defer stop()
 	defer conn.Close()
-	if err := conn.SetReadDeadline(time.Now().Add(l.set.opts.ConnectTimeout)); err != nil {
+	if err := conn.SetReadDeadline(time.Now().Add(l.set.connectTime())); err != nil {
 		return false, err
 	}
 	h := &connHandler{link: l, conn: conn}
--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -60,7 +60,7 @@
 // Send implements engine.Link.
 func (l *Link) Send(id engine.CallOutID, rpc *engine.RPC, clientWait, sendBy router.Time) {
 	s := l.set
-	c := callOut{id: id, method: rpc.Method.Name, function: rpc.Function, token: rpc.Token, spec: rpc.Spec, payload: rpc.Payload, blob: rpc.Blob,
+	c := callOut{id: id, key: callOutKey(id), method: rpc.Method.Name, function: rpc.Function, token: rpc.Token, spec: rpc.Spec, payload: rpc.Payload, blob: rpc.Blob,
 		conditions: l.conditions(clientWait, sendBy)}
 	if rpc.Method.MaxBatch > 1 && l.out.acceptsBatches() {
 		s.batched[id] = batchedCallOut{l, &c}
@@ -74,7 +74,7 @@
 // time; 0: without limit.
 func (l *Link) conditions(answerWait, sendBy router.Time) outbound.Conditions {
 	now := l.set.now
-	c := outbound.Conditions{DecidedAt: now, SendBy: sendBy, WaitUntil: now + eventloop.FromDuration(l.set.opts.ConnectTimeout)}
+	c := outbound.Conditions{DecidedAt: now, SendBy: sendBy, WaitUntil: now + eventloop.FromDuration(l.set.connectTime())}
 	if answerWait > 0 {
 		c.Deadline = now + answerWait
 	}
@@ -87,9 +87,10 @@
 	m := &outbound.Message{AppendTo: func(out []byte, now router.Time, ids []string) []byte {
 		return appendCallOuts(out, st.binary, callOuts, now, ids)
 	}}
+	m.Requests = make([]outbound.Request, 0, len(callOuts))
 	requests := make([]*request, len(callOuts))
 	for i, c := range callOuts {
-		m.Requests = append(m.Requests, outbound.Request{ID: c.key(), Conditions: c.conditions, Size: c.size()})
+		m.Requests = append(m.Requests, outbound.Request{ID: c.key, Conditions: c.conditions, Size: c.size()})
 		requests[i] = l.callOutRequest(c.id)
 	}
 	l.queue(m, requests)
--- a/internal/workerlink/link_test.go
+++ b/internal/workerlink/link_test.go
@@ -72,7 +72,7 @@
 		settingkeys.Join(settingkeys.May, settingkeys.Overlap):            true,
 		settingkeys.Join(settingkeys.Functions, settingkeys.OrderTimeout): float64(eventloop.FromDuration(longWait))}
 	f.engine = engine.New(engine.Options{Settings: settings, Now: f.loop.Now(), Log: func(string) {}, NewRouter: f.router.Factory, CancelWait: 100})
-	options := Options{FrontEnd: "front", ConnectTimeout: longWait, ValueBytes: 1 << 24, QueuedBytes: 1 << 24,
+	options := Options{FrontEnd: "front", Limits: Limits{ConnectTimeout: longWait}, ValueBytes: 1 << 24, QueuedBytes: 1 << 24,
 		RedialMin: time.Millisecond, RedialMax: 10 * time.Millisecond, Log: zerolog.Nop()}
 	if configure != nil {
 		configure(&options)
@@ -328,6 +328,19 @@
 	}
 }
 
+// TestUpdateLimits checks that a new connect timeout holds for what is sent from then on.
+func TestUpdateLimits(t *testing.T) {
+	f := newFixture(t, "json", nil)
+	f.addLink()
+	f.block()
+	f.inTurn(func() { f.set.UpdateLimits(Limits{ConnectTimeout: 50 * time.Millisecond}) })
+	f.submit(longWait, 10)
+	f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
+	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.Full}) {
+		t.Errorf("outcomes %v", got)
+	}
+}
+
 // TestNotSentAfterPause checks that what was decided on before a pause of the process is not sent after it: changes of
 // the worker list may not have been received yet.
 func TestNotSentAfterPause(t *testing.T) {
--- a/internal/workerlink/messages.go
+++ b/internal/workerlink/messages.go
@@ -18,15 +18,13 @@
 // callOut is an RPC on its way to a worker. It keeps what is sent of the RPC, which may end meanwhile.
 type callOut struct {
 	id                      engine.CallOutID
+	key                     string // the id by which the worker answers
 	method, function, token string
 	spec                    engine.FunctionSpec
 	payload, blob           []byte
 	conditions              outbound.Conditions
 }
 
-// key returns the id by which the worker answers.
-func (c *callOut) key() string { return callOutKey(c.id) }
-
 func (c *callOut) size() int { return messageOverhead + len(c.payload) + len(c.blob) }
 
 // Ids of requests to a worker, in their JSON form. Those of orders and checks are strings, so that they differ from
@@ -40,16 +38,14 @@
 
 // appendCallOuts appends those of the call-outs that have the given ids: one as host.request, several as host.batch.
 func appendCallOuts(out []byte, binary bool, callOuts []*callOut, now router.Time, ids []string) []byte {
-	wanted := make([]*callOut, 0, len(ids))
-	for _, c := range callOuts {
-		if slices.Contains(ids, c.key()) {
-			wanted = append(wanted, c)
-		}
+	if len(ids) < len(callOuts) {
+		callOuts = slices.DeleteFunc(slices.Clone(callOuts), func(c *callOut) bool { return !slices.Contains(ids, c.key) })
 	}
-	if len(wanted) == 1 {
-		return appendMessage(out, binary, ids[0], "host.request", wanted[0].params(now), wanted[0].blob)
+	if len(callOuts) == 1 {
+		c := callOuts[0]
+		return appendMessage(out, binary, c.key, "host.request", c.params(now), c.blob)
 	}
-	params, blob := batchParams(wanted, now)
+	params, blob := batchParams(callOuts, now)
 	return appendMessage(out, binary, "", "host.batch", params, blob)
 }
 
@@ -79,7 +75,7 @@
 		}
 		request := c.params(now)
 		params = append(append(params, request[:len(request)-1]...), `,"id":`...)
-		params = append(append(params, c.key()...), `,"blob_bytes":`...)
+		params = append(append(params, c.key...), `,"blob_bytes":`...)
 		params = append(strconv.AppendInt(params, int64(len(c.blob)), 10), '}')
 		blob = append(blob, c.blob...)
 	}
--- a/internal/workerlink/set.go
+++ b/internal/workerlink/set.go
@@ -12,6 +12,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,14 +25,19 @@
 	"mallowlanding/router"
 )
 
-// Options configure all links of a front end.
-type Options struct {
-	FrontEnd string
+// Limits are the options that may change while the links exist.
+type Limits struct {
 	// ConnectTimeout bounds connecting to a worker, then the wait for its client.ready, and the time for which a request
 	// waits for its first byte to be written. A worker that exceeds it counts as unreachable, or as too slow a reader.
 	ConnectTimeout time.Duration
 	MaxPause       time.Duration // a request decided on before a longer pause of the process is not sent; 0: no limit
-	ValueBytes     int           // maximum size of one JSON value from a worker
+}
+
+// Options configure all links of a front end.
+type Options struct {
+	FrontEnd string
+	Limits
+	ValueBytes int // maximum size of one JSON value from a worker
 	// QueuedBytes bounds the unsent bytes for a worker that reads slowly. Above it, new requests end as router.Full.
 	QueuedBytes int
 	RedialMin   time.Duration                                  // first pause before reconnecting; it doubles
@@ -49,6 +55,7 @@
 	group               errgroup.Group
 	ctx                 context.Context
 	unwantedRestTimeout time.Duration // see the constant
+	connectTimeout      atomic.Int64  // in ns; see Limits
 	pauses              outbound.PauseDetector
 	now                 router.Time
 	toFlush             []*Link          // requests or notifications were queued on them in this turn of the event loop
@@ -64,10 +71,19 @@
 	s := &Set{opts: opts, loop: loop, engine: e, links: map[string]*Link{}, ctx: ctx,
 		unwantedRestTimeout: unwantedRestTimeout, waiting: map[uint64]*Link{},
 		batches: batch.New[batchKey, engine.CallOutID](), batched: map[engine.CallOutID]batchedCallOut{}}
-	s.pauses.SetLimit(eventloop.FromDuration(opts.MaxPause))
+	s.UpdateLimits(opts.Limits)
 	return s
 }
 
+// UpdateLimits replaces the limits; connections that are being made and requests that wait keep the old connect timeout.
+func (s *Set) UpdateLimits(limits Limits) {
+	s.connectTimeout.Store(int64(limits.ConnectTimeout))
+	s.pauses.SetLimit(eventloop.FromDuration(limits.MaxPause))
+}
+
+// connectTime returns the connect timeout. Any goroutine may call it.
+func (s *Set) connectTime() time.Duration { return time.Duration(s.connectTimeout.Load()) }
+
 // Wait returns when the goroutines of all links have ended. Call it after the context has ended.
 func (s *Set) Wait() { _ = s.group.Wait() }
 
