--- a/internal/routing/routingtest/routingtest.go
+++ b/internal/routing/routingtest/routingtest.go
@@ -15,17 +15,19 @@
 	Worker   router.WorkerID // that gets the RPCs; 0: the one with id 1
 	SendBy   router.Time     // passed on with each call-out; 0: no limit
 	Outcomes []router.Outcome
+	ByRPC    map[router.RPCID]router.Outcome // of the last call-out of each RPC
 }
 
 // Factory is a routing.Factory that returns r.
 func (r *Router) Factory(actions router.Actions, _ router.Time, _ int64, _ router.Settings) routing.Router {
-	r.Actions = actions
+	r.Actions, r.ByRPC = actions, map[router.RPCID]router.Outcome{}
 	return r
 }
 
 // scriptedRPC is an RPC at a Router. It makes no further call-out, however the first one ends.
 type scriptedRPC struct {
 	router *Router
+	id     router.RPCID
 	ended  bool // the call-out that the router made has ended
 	closed bool // nothing is waited for any more
 }
@@ -35,13 +37,14 @@
 	_ router.Time, _, _ float64, _ int, _ router.Time, _ bool) routing.Handle {
 	sendBy := cmp.Or(r.SendBy, math.MaxInt64)
 	r.Actions.Send(id, cmp.Or(r.Worker, 1), 0, sendBy)
-	return &scriptedRPC{router: r}
+	return &scriptedRPC{router: r, id: id}
 }
 
 // CallOutEnded implements routing.Handle.
 func (p *scriptedRPC) CallOutEnded(_ router.Time, _ int, _ router.WorkerID, o router.Outcome, closed bool, _ router.Warmth, _ int,
 	_ router.Time, _ []float64) {
 	p.router.Outcomes = append(p.router.Outcomes, o)
+	p.router.ByRPC[p.id] = o
 	p.ended, p.closed = true, p.closed || closed
 }
 
