--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -284,6 +284,7 @@
 			continue
 		}
 		delete(l.inFlight, d.ID)
+		l.set.opts.Log.Debug().Str("worker", l.name).Str("id", d.ID).AnErr("cause", d.Err).Msg("request not sent")
 		req.onEnded(l.outcomeOfDropped(d.Err), fmt.Sprintf("%s: %v", l.name, d.Err))
 	}
 	l.closeIfIdle()
--- a/internal/workerlink/stream.go
+++ b/internal/workerlink/stream.go
@@ -197,6 +197,8 @@
 	st.unwantedSince = time.Now()
 	time.AfterFunc(within, func() {
 		if st.restUnwantedFor(within) {
+			st.link.set.opts.Log.Warn().Str("worker", st.link.name).
+				Msg("connection closed: the worker does not read the rest of a request that nobody waits for any more")
 			st.conn.Close() // ends the reader, too
 		}
 	})
