Links: a lost connection's stream is let go, and the buffer of a large message is not kept

Cause: by reading: each reconnection left a registration at the link's context that held the old stream, and a connection kept the buffer of its largest message. Change: the registration ends with the connection; a buffer over 256 KiB is dropped when its message has been written.

--- a/internal/outbound/queue.go
+++ b/internal/outbound/queue.go
@@ -10,6 +10,8 @@
 const (
 	// chunkBytes is how much Next encodes ahead. What the socket does not accept is encoded again.
 	chunkBytes = 64 << 10
+	// maxKeptBuffer is the size of the buffer that is kept for the next messages.
+	maxKeptBuffer = 4 * chunkBytes
 	// compactAbove is the number of removed messages from which they are dropped from the middle of the queue.
 	compactAbove = 32
 )
@@ -92,9 +94,6 @@
 		return q.rest
 	}
 	q.buffer, q.ends, q.begun = q.buffer[:0], q.ends[:0], q.begun[:0]
-	if cap(q.buffer) > 4*chunkBytes { // a large message has been written
-		q.buffer = nil
-	}
 	for _, m := range q.messages {
 		if q.check(m, now); len(m.Requests) == 0 {
 			continue
@@ -116,11 +115,20 @@
 // Wrote records that the connection accepted the first n of the bytes that Next returned last.
 func (q *Queue) Wrote(n int) {
 	if len(q.rest) > 0 {
-		if q.rest = q.rest[n:]; len(q.rest) == 0 {
-			q.rest, q.open = nil, nil
+		q.rest = q.rest[n:]
+	} else {
+		q.wroteMessages(n)
+	}
+	if len(q.rest) == 0 {
+		q.rest, q.open = nil, nil
+		if cap(q.buffer) > maxKeptBuffer {
+			q.buffer = nil
 		}
-		return
 	}
+}
+
+// wroteMessages is Wrote for bytes that begin with a message.
+func (q *Queue) wroteMessages(n int) {
 	start := 0
 	for i, m := range q.begun {
 		if n <= start {
--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -306,7 +306,7 @@
 func (l *Link) connectionLost(err error) {
 	l.endDropped()
 	lost := l.out
-	lost.end()
+	lost.connectionLost()
 	l.out = newStream(l)
 	l.set.unbatchLink(l, outbound.ErrConnectionLost)
 	l.endAll(lost, fmt.Sprintf("connection to %s lost: %v", l.name, err))
--- a/internal/workerlink/stream.go
+++ b/internal/workerlink/stream.go
@@ -25,8 +25,9 @@
 	// set when the worker becomes ready, in a turn of the event loop and with mu held
 	conn    net.Conn
 	raw     syscall.RawConn
-	binary  bool // frames are sent instead of JSON lines
-	batches bool // the worker accepts host.batch
+	binary  bool        // frames are sent instead of JSON lines
+	batches bool        // the worker accepts host.batch
+	unwatch func() bool // has the end of the link's context not end the stream any more
 
 	mu            sync.Mutex
 	changed       *sync.Cond
@@ -53,7 +54,7 @@
 	defer st.mu.Unlock()
 	st.conn, st.raw, st.binary, st.batches = conn, raw, binary, batches
 	st.queue.Greet(greeting)
-	context.AfterFunc(ctx, st.end)
+	st.unwatch = context.AfterFunc(ctx, st.end)
 	return nil
 }
 
@@ -64,6 +65,14 @@
 // loop.
 func (st *stream) acceptsBatches() bool { return st.isReady() && st.binary && st.batches }
 
+// connectionLost ends the stream, whose connection has been lost. Call it in a turn of the event loop.
+func (st *stream) connectionLost() {
+	if st.unwatch != nil {
+		st.unwatch()
+	}
+	st.end()
+}
+
 // end has the stream write nothing more.
 func (st *stream) end() {
 	st.mu.Lock()
