Engine: RPCs, the router's actions and workers move into files of their own

Change: rpc.go, actions.go and workers.go; no line of code changed but imports. Measured: the tests of engine, dispatch, platform, gateway and emulate are green.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,13 +3,15 @@
 // clock: clients, links to workers and the current time come through narrow interfaces, so that the same engine runs
 // on sockets and in a simulation.
 //
+// The files: engine.go has the turns and the events, rpc.go the life of one RPC, actions.go what the router decides,
+// workers.go the worker list and the links.
+//
 // An engine belongs to one goroutine. It runs in turns of an event loop: BeginTurn, then all events of one moment, then
 // EndTurn.
 package engine
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -73,32 +75,6 @@
 	LoadTime router.Time
 }
 
-// RPC is one RPC at the engine.
-type RPC struct {
-	e           *Engine
-	id          router.RPCID
-	client      Client
-	expiresAt   router.Time
-	expiryTimer eventloop.Timer
-	callOuts    []callOut
-	inFlight    int
-	closed      bool   // answered, or the client left
-	lastCause   string // error text of the last failed call-out
-	cancelState cancellation.RPC
-	cancelTimer eventloop.Timer
-	methodIndex router.MethodID
-
-	Method       *Method
-	Function     string
-	Spec         FunctionSpec
-	Token        string
-	ClientRPCID  string // the client's own id of the RPC; empty: none
-	Customer     string
-	SoftDeadline router.Time // time at which the soft deadline expires
-	Payload      []byte      // JSON
-	Blob         []byte      // binary part of the payload
-}
-
 // knownFunction is a function named by an RPC; Engine.functions holds it by the id of its name.
 type knownFunction struct {
 	name     string
@@ -106,23 +82,6 @@
 	lastUsed router.Time // last RPC submitted or load ordered
 }
 
-type callOut struct {
-	worker    *worker
-	link      Link // that it was handed to; nil: none
-	sentAt    router.Time
-	cancelled bool // nobody waits for it any more, and the link knows
-	neverSent bool // as the link has reported when it was cancelled
-	ended     bool
-}
-
-type worker struct {
-	id        router.WorkerID
-	name      string
-	link      Link
-	lastList  uint64      // number of the last worker list that contained it
-	removedAt router.Time // when it left the worker list; 0: it is in the list
-}
-
 // The router drops functions and workers that had no events for ten minutes. Their names are kept longer, because the
 // router refers to them by the ids of their names.
 const (
@@ -362,35 +321,6 @@
 	return e.router.LoadsHalted(nameid.Function(function))
 }
 
-// ClientLeft ends an RPC whose client left, without an answer. It cancels the call-outs in flight, and the load orders
-// of its function if no other RPC needs them.
-func (r *RPC) ClientLeft() {
-	if r.closed {
-		return
-	}
-	r.e.counts.Left++
-	r.cancelOutstanding()
-	r.close()
-	r.e.release(r)
-}
-
-// Cancel handles a client's cancellation. The client still gets its one answer: the result, if it arrives in spite of
-// the cancellation; denied, if a retry is harmless; else aborted. Workers have Options.CancelWait to report the end of
-// the call-outs in flight.
-func (r *RPC) Cancel() {
-	if r.closed || r.cancelState.Cancelled() {
-		return
-	}
-	e := r.e
-	r.cancelOutstanding()
-	r.answerCancelled(r.cancelState.Verdict())
-	if !r.closed {
-		e.timers.Set(&r.cancelTimer, min(e.now+e.cancelWait, r.expiresAt), func(router.Time) {
-			r.answerCancelled(r.cancelState.VerdictOnTimeout())
-		})
-	}
-}
-
 // AnswerAll gives every open RPC its answer now and cancels the call-outs in flight, before the process ends.
 func (e *Engine) AnswerAll() {
 	for _, id := range slices.Sorted(maps.Keys(e.rpcs)) {
@@ -401,95 +331,6 @@
 	}
 }
 
-// CallOuts returns the number of the RPC's call-outs so far.
-func (r *RPC) CallOuts() int { return len(r.callOuts) }
-
-// RetryHarmless reports whether a retry is harmless for a client that stops waiting for the RPC now.
-func (r *RPC) RetryHarmless() bool { return r.cancelState.VerdictOnTimeout() == cancellation.Deny }
-
-// cancelOutstanding has the router make no further call-out, and cancels the call-outs in flight and the load orders
-// that no other RPC needs.
-func (r *RPC) cancelOutstanding() {
-	e := r.e
-	if r.cancelState.Cancelled() {
-		return
-	}
-	r.cancelState.Cancel()
-	e.router.ClientLeft(e.now, r.id)
-	r.cancelCallOuts()
-	for _, id := range e.demand.RPCClosed(nameid.Function(r.Function), true) {
-		if o := e.orders[id]; o != nil && o.worker.link != nil {
-			o.worker.link.CancelLoadOrder(id)
-		}
-	}
-}
-
-// cancelCallOuts cancels the call-outs in flight. Those that were never sent end in the next turn.
-func (r *RPC) cancelCallOuts() {
-	for n := range r.callOuts {
-		if !r.cancelCallOut(n) {
-			continue
-		}
-		r.e.deferred = append(r.e.deferred, func() {
-			if !r.callOuts[n].ended {
-				r.endCallOut(n, router.NotSent, router.WarmthUnknown, 0, nil, nil, nil)
-			}
-		})
-	}
-}
-
-// cancelCallOut tells the link, once, that nobody waits for the n-th call-out any more. It reports whether the call-out
-// was taken back by this call, so that it is known never to have run.
-func (r *RPC) cancelCallOut(n int) (neverSent bool) {
-	c := &r.callOuts[n]
-	if c.ended || c.cancelled || c.link == nil {
-		return false
-	}
-	c.cancelled = true
-	if c.neverSent = c.link.CancelCallOut(r.callOutID(n)); c.neverSent {
-		r.cancelState.CallOutEnded(router.NotSent)
-	}
-	return c.neverSent
-}
-
-func (r *RPC) callOutID(n int) CallOutID { return CallOutID(uint64(r.id)<<8 | uint64(n)) }
-
-// answerCancelled answers a cancelled RPC according to v.
-func (r *RPC) answerCancelled(v cancellation.Verdict) {
-	if r.closed || v == cancellation.Wait {
-		return
-	}
-	r.close()
-	if v == cancellation.Deny {
-		r.e.counts.Denied++
-		r.client.Denied(0)
-	} else {
-		r.e.counts.Aborted++
-		r.client.Aborted("cancelled by its client")
-	}
-	r.e.release(r)
-}
-
-// expire ends the call-outs in flight when the client's time is over.
-func (r *RPC) expire(router.Time) {
-	for n := range r.callOuts {
-		r.timeOutCallOut(n)
-	}
-}
-
-// timeOutCallOut ends the n-th call-out, whose time is over. It may have run unless it was never sent.
-func (r *RPC) timeOutCallOut(n int) {
-	c := &r.callOuts[n]
-	if c.ended {
-		return
-	}
-	outcome := router.TimedOut
-	if r.cancelCallOut(n) || c.neverSent {
-		outcome = router.NotSent
-	}
-	r.endCallOut(n, outcome, router.WarmthUnknown, 0, nil, nil, nil)
-}
-
 // CallOutEnded records how a call-out ended, by the worker's answer or at the link. Result is the worker's result for
 // router.OK and an error text otherwise. CallOutEnded ignores a call-out that is unknown, has ended, or belongs to
 // another worker, and returns false.
@@ -503,104 +344,6 @@
 	return true
 }
 
-func (r *RPC) endCallOut(n int, outcome router.Outcome, warmth router.Warmth, otherRPCs int, report []float64,
-	result, blob []byte) {
-	e, c := r.e, &r.callOuts[n]
-	c.ended = true
-	r.inFlight--
-	if !c.neverSent { // else it is known since the call-out was cancelled
-		r.cancelState.CallOutEnded(outcome)
-	}
-	if outcome == router.OK && !r.closed {
-		r.close()
-		e.counts.OK++
-		r.client.OK(result, blob)
-	} else if outcome != router.OK && len(result) > 0 {
-		r.lastCause = string(result)
-	}
-	if r.cancelState.Cancelled() {
-		r.answerCancelled(r.cancelState.Verdict())
-	} else if !r.closed && r.inFlight == 0 {
-		r.client.QueuedChanged(true)
-	}
-	e.router.CallOutEnded(e.now, r.id, n, c.worker.id, outcome, r.closed, warmth, otherRPCs, e.now-c.sentAt, report)
-	e.release(r)
-}
-
-// close marks the RPC as answered or abandoned. Nothing is sent for it from then on.
-func (r *RPC) close() {
-	r.closed = true
-	r.cancelCallOuts()
-	if !r.cancelState.Cancelled() {
-		r.e.demand.RPCClosed(nameid.Function(r.Function), false)
-	}
-}
-
-// release drops an RPC that is closed and has no call-out in flight.
-func (e *Engine) release(r *RPC) {
-	if r.closed && r.inFlight == 0 {
-		e.timers.Stop(&r.expiryTimer)
-		e.timers.Stop(&r.cancelTimer)
-		delete(e.rpcs, r.id)
-		r.Payload, r.Blob = nil, nil
-	}
-}
-
-// SetLink sets the link of a worker. While it is nil, call-outs to the worker end as router.ConnectFailed.
-func (e *Engine) SetLink(name string, link Link) {
-	e.ensureWorker(name).link = link
-}
-
-func (e *Engine) ensureWorker(name string) *worker {
-	id := nameid.Worker(name)
-	w := e.workers[id]
-	if w == nil {
-		w = &worker{id: id, name: name}
-		e.workers[id] = w
-	}
-	return w
-}
-
-// BeginWorkerList begins a worker list or a set of changes to it. Calls of AddListedWorker and one of EndWorkerList
-// follow; see router.Router.
-func (e *Engine) BeginWorkerList(update router.ListUpdate, version uint64) {
-	e.listCount++
-	e.listComplete = update == router.ListComplete
-	e.router.BeginWorkerList(e.now, update, version)
-}
-
-// AddListedWorker adds one entry to the current list. Started is 0 for a worker that started long ago. A name that has
-// the id of another worker's name is refused.
-func (e *Engine) AddListedWorker(name string, state router.Readiness, started router.Time, zone router.ZoneID,
-	cell router.CellID, kind router.KindID) error {
-	if w := e.workers[nameid.Worker(name)]; w != nil && w.name != name {
-		return fmt.Errorf("worker %q has the id of worker %q: rename one of them", name, w.name)
-	}
-	w := e.ensureWorker(name)
-	if w.lastList = e.listCount; state != router.Removed {
-		w.removedAt = 0
-	} else if w.removedAt == 0 {
-		w.removedAt = e.now
-	}
-	e.router.AddListedWorker(e.now, w.id, state, started, zone, cell, kind, 1)
-	return nil
-}
-
-// EndWorkerList ends the current list. Workers that a complete list does not contain are removed.
-func (e *Engine) EndWorkerList() {
-	if e.listComplete {
-		for _, w := range e.workers {
-			if w.lastList != e.listCount && w.removedAt == 0 {
-				w.removedAt = e.now
-			}
-		}
-	}
-	e.router.EndWorkerList(e.now)
-}
-
-// ConfirmWorkerList records that the worker list was complete and correct at the time asOf; see router.Router.
-func (e *Engine) ConfirmWorkerList(asOf router.Time) { e.router.ConfirmWorkerList(e.now, asOf) }
-
 // LoadOrderEnded records how a load order ended. An order that is unknown or has ended is ignored.
 func (e *Engine) LoadOrderEnded(id OrderID, outcome router.Outcome, copies int) {
 	if o := e.orders[id]; o != nil {
@@ -619,142 +362,3 @@
 		e.router.CheckEnded(e.now, c.worker.id, outcome, e.now-c.sentAt, report)
 	}
 }
-
-// actions carries out the router's decisions.
-type actions Engine
-
-// Send implements router.Actions.
-func (a *actions) Send(rpc router.RPCID, w router.WorkerID, limit, sendBy router.Time) {
-	e, r := (*Engine)(a), a.rpcs[rpc]
-	if r == nil { // a fault of the router: the RPC has ended
-		return
-	}
-	n, target := len(r.callOuts), e.workers[w]
-	r.callOuts = append(r.callOuts, callOut{worker: target, sentAt: e.now})
-	r.cancelState.CallOutSent()
-	if r.inFlight++; r.inFlight == 1 && !r.closed {
-		r.client.QueuedChanged(false)
-	}
-	notSent := r.closed || e.now >= r.expiresAt || n >= e.maxCallOuts || r.inFlight > 1 && !e.overlap
-	id := CallOutID(uint64(rpc)<<8 | uint64(n))
-	switch {
-	case notSent:
-		e.deferred = append(e.deferred, func() {
-			e.CallOutEnded(id, w, router.NotSent, router.WarmthUnknown, 0, nil, nil, nil)
-		})
-	case target.link == nil:
-		e.deferred = append(e.deferred, func() {
-			e.CallOutEnded(id, w, router.ConnectFailed, router.WarmthUnknown, 0, nil, []byte("no link to "+target.name), nil)
-		})
-	default:
-		e.counts.CallOuts++
-		left := r.expiresAt - e.now
-		if limit > 0 { // the link then times out by itself
-			left = min(left, limit)
-		}
-		r.callOuts[n].link = target.link
-		target.link.Send(id, r, left, sendBy)
-		if limit > 0 && e.now+limit < r.expiresAt {
-			e.timers.Set(new(eventloop.Timer), e.now+limit, func(router.Time) { r.timeOutCallOut(n) })
-		}
-	}
-}
-
-// Deny implements router.Actions.
-func (a *actions) Deny(rpc router.RPCID, retryAfter router.Time, why router.Reason) {
-	if r := a.rpcs[rpc]; r != nil && !r.closed {
-		a.onGiveUp(r, why)
-		r.close()
-		a.counts.Denied++
-		r.client.Denied(retryAfter)
-		a.router.Release(rpc)
-		(*Engine)(a).release(r)
-	}
-}
-
-// Abort implements router.Actions.
-func (a *actions) Abort(rpc router.RPCID, why router.Reason) {
-	if r := a.rpcs[rpc]; r != nil && !r.closed {
-		a.onGiveUp(r, why)
-		r.close()
-		a.counts.Aborted++
-		r.client.Aborted(r.lastCause)
-		a.router.Release(rpc)
-		(*Engine)(a).release(r)
-	}
-}
-
-// CancelCallOut implements router.Actions.
-func (a *actions) CancelCallOut(rpc router.RPCID, n int) {
-	e, r := (*Engine)(a), a.rpcs[rpc]
-	if r == nil || n >= len(r.callOuts) || r.callOuts[n].ended {
-		return
-	}
-	outcome := router.Cancelled
-	if r.cancelCallOut(n) || r.callOuts[n].neverSent {
-		outcome = router.NotSent
-	}
-	id, w := r.callOutID(n), r.callOuts[n].worker.id
-	e.deferred = append(e.deferred, func() {
-		e.CallOutEnded(id, w, outcome, router.WarmthUnknown, 0, nil, nil, nil)
-	})
-}
-
-// SetTimer implements router.Actions.
-func (a *actions) SetTimer(after router.Time, token uint64) {
-	e := (*Engine)(a)
-	// A timer never fires in the turn that sets it.
-	e.timers.Set(new(eventloop.Timer), e.now+max(after, 1), func(now router.Time) { e.router.TimerFired(now, token) })
-}
-
-// Check implements router.Actions.
-func (a *actions) Check(w router.WorkerID) {
-	e, target := (*Engine)(a), a.workers[w]
-	e.lastID++
-	id := CheckID(e.lastID)
-	c := &check{worker: target, sentAt: e.now}
-	e.checks[id] = c
-	e.counts.Checks++
-	if target.link == nil {
-		e.deferred = append(e.deferred, func() { e.CheckEnded(id, router.ConnectFailed, nil) })
-		return
-	}
-	e.timers.Set(&c.timeout, e.now+e.orderTimeout, func(router.Time) { e.CheckEnded(id, router.TimedOut, nil) })
-	target.link.Check(id)
-}
-
-// OrderLoad implements router.Actions.
-func (a *actions) OrderLoad(w router.WorkerID, fn router.FunctionID, n int, sendBy router.Time) {
-	e, target := (*Engine)(a), a.workers[w]
-	e.lastID++
-	id := OrderID(e.lastID)
-	o := &order{worker: target, fn: fn, sentAt: e.now}
-	e.orders[id] = o
-	f, known := e.functions[fn]
-	if !known { // pruned: nobody has asked for it for long
-		e.deferred = append(e.deferred, func() { e.LoadOrderEnded(id, router.NotSent, 0) })
-		return
-	}
-	if n > 0 {
-		e.counts.Orders++
-		e.demand.OrderSent(fn, id)
-	}
-	if target.link == nil {
-		e.deferred = append(e.deferred, func() { e.LoadOrderEnded(id, router.ConnectFailed, 0) })
-		return
-	}
-	e.timers.Set(&o.timeout, e.now+e.orderTimeout, func(router.Time) { e.LoadOrderEnded(id, router.TimedOut, 0) })
-	f.lastUsed = e.now
-	e.functions[fn] = f
-	target.link.OrderLoad(id, f.name, f.spec, n, min(sendBy, e.now+e.orderTimeout))
-}
-
-// SubscribeWorkers implements router.Actions.
-func (a *actions) SubscribeWorkers() {
-	if a.subscribe != nil {
-		a.subscribe()
-	}
-}
-
-// Log implements router.Actions.
-func (a *actions) Log(text string) { a.log(text) }
