Tests of unsent requests force the order of events

Cause: with the race detector beside other tests one run of unsent.txt failed: the large RPC that was to fill the socket was read after a small one, which was then sent. Traced by the ids (the large one had the second). Steps waited 30 or 100 ms and hoped. In the links' tests an RPC of 300 ms could end before the end that was played, and a connection's end was looked at before it was read. Change: steps 'fills' and 'reconnects', and a status request behind an RPC, force the order; RPCs that are to end otherwise have a minute. The tenth conversation (a half-written request is finished within 0.1 s) goes: it can't be forced there, and TestHalfWrittenMessage forces it in both codecs.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"mallowlanding/internal/control/wire"
 	"mallowlanding/internal/jsonrpc/jsontest"
 	"mallowlanding/internal/settings"
+	"mallowlanding/internal/sockio"
 )
 
 // TestConversations runs the scripts of testdata. A file has conversations, each under a line '== NAME', with one
@@ -49,6 +50,8 @@
 //	W < METHOD [$ID]          W receives METHOD as its next message, pings ignored; $ID is bound to its id
 //	X nothing MS              X receives nothing for MS ms, pings ignored
 //	X closes|half-closes|ends X closes; closes its sending side; receives the end of the stream
+//	W fills                   waits until the front end has sent a deaf worker as much as its socket takes
+//	W reconnects              waits until the front end has opened another connection
 //	W stops                   the worker closes its connections and its socket
 //	config ok XML             submits a configuration to the control service, which is started if needed and numbers the
 //	                          configuration; it must be accepted. XML: the service's elements, then after '|' the
@@ -512,6 +515,13 @@
 		case "stops":
 			s.stop()
 			return nil
+		case "reconnects":
+			select {
+			case k.peers[words[0]] = <-s.accepted:
+				return nil
+			case <-time.After(stepTimeout):
+				return errors.New("the front end does not connect again")
+			}
 		case "closes":
 			s.closeConns()
 			delete(k.peers, words[0])
@@ -553,6 +563,8 @@
 	case "reads":
 		p.read()
 		return nil
+	case "fills":
+		return awaitFull(p.nc)
 	case ">*":
 		n, err := strconv.Atoi(words[2])
 		text := strings.TrimSpace(strings.TrimPrefix(rest(), words[2]))
@@ -603,6 +615,20 @@
 	return errors.New("unknown step")
 }
 
+// fullSocket is more than the small messages that come before a large one, and less than any socket takes.
+const fullSocket = 32 << 10
+
+// awaitFull waits until the connection holds unread bytes of a large message.
+func awaitFull(nc net.Conn) error {
+	socket := sockio.NewSocket(nc)
+	for deadline := time.Now().Add(stepTimeout); socket.Unread() < fullSocket; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			return errors.New("the front end sends no large message")
+		}
+	}
+	return nil
+}
+
 // nextRequest checks the method of the next request or notification, ignoring pings, and binds its id.
 func (k *conversation) nextRequest(s *server, name string, words []string) error {
 	for {
--- a/internal/workerlink/link_test.go
+++ b/internal/workerlink/link_test.go
@@ -178,7 +178,7 @@
 }
 
 // ends are the ways in which a call-out may end before it is sent, with the outcome that the router gets. Each is given
-// a client whose RPC waits, and which gives up after endAfter.
+// a client whose RPC waits.
 var ends = map[string]struct {
 	end     func(f *fixture, c *client)
 	outcome router.Outcome
@@ -202,35 +202,35 @@
 	"the worker has moved": {func(f *fixture, _ *client) { f.inTurn(func() { f.set.Add("w", "/nowhere", nameid.Worker("w")) }) }, router.Full},
 }
 
-// endAfter is the time of an RPC that ends before it is sent, in whatever way.
+// endAfter is the time of an RPC whose time ends before it is sent.
 const endAfter = 300 * time.Millisecond
 
 // states are what an RPC may wait for, each with how the test gets there and how it goes on.
 var states = map[string]struct {
 	codecs  []string
 	prepare func(f *fixture)
-	submit  func(f *fixture) *client
+	submit  func(f *fixture, wait time.Duration) *client
 	goOn    func(f *fixture)
 	before  string // what the worker receives beside the RPC
 }{
 	"the worker reads nothing": {[]string{"json", "cbor"}, func(f *fixture) { f.addLink(); f.block() },
-		func(f *fixture) *client { return f.submit(endAfter, 10) }, (*fixture).workerReads, "host.request 256"},
+		func(f *fixture, wait time.Duration) *client { return f.submit(wait, 10) }, (*fixture).workerReads, "host.request 256"},
 	"the worker reads nothing, large": {[]string{"json", "cbor"}, func(f *fixture) { f.addLink(); f.block() },
-		func(f *fixture) *client { return f.submit(endAfter, largeBytes) }, (*fixture).workerReads, "host.request 256"},
+		func(f *fixture, wait time.Duration) *client { return f.submit(wait, largeBytes) }, (*fixture).workerReads, "host.request 256"},
 	"the worker is not ready": {[]string{"json", "cbor"}, func(f *fixture) { f.worker.set(func() { f.worker.ready = false }); f.addLink() },
-		func(f *fixture) *client { return f.submit(endAfter, 10) }, func(f *fixture) { f.worker.set(func() { f.worker.ready = true }) }, ""},
+		func(f *fixture, wait time.Duration) *client { return f.submit(wait, 10) }, func(f *fixture) { f.worker.set(func() { f.worker.ready = true }) }, ""},
 	"its batch is not due": {[]string{"cbor"}, func(f *fixture) {
 		f.addLink()
 		f.await("the worker accepts batches", func() bool { return f.link().out.acceptsBatches() })
-	}, submitBatched, func(*fixture) { time.Sleep(endAfter) }, ""},
+	}, submitBatched, func(*fixture) {}, ""},
 }
 
-// submitBatched submits an RPC whose batch is due only after endAfter.
-func submitBatched(f *fixture) *client {
+// submitBatched submits an RPC whose batch is not due before the test has ended.
+func submitBatched(f *fixture, wait time.Duration) *client {
 	c := &client{}
 	m := &engine.Method{Name: "hold", Effect: router.SideEffecting, Deadline: eventloop.FromDuration(longWait), MaxBatch: 8,
-		BatchWait: eventloop.FromDuration(2 * endAfter), SoftDeadline: eventloop.FromDuration(longWait)}
-	f.inTurn(func() { f.submitInTurn(c, m, endAfter, 10) })
+		BatchWait: eventloop.FromDuration(longWait / 10), SoftDeadline: eventloop.FromDuration(longWait)}
+	f.inTurn(func() { f.submitInTurn(c, m, wait, 10) })
 	return c
 }
 
@@ -245,7 +245,11 @@
 					f := newFixture(t, codec, nil)
 					state.prepare(f)
 					f.inTurn(func() { f.router.Outcomes = nil })
-					c := state.submit(f)
+					wait := longWait
+					if endName == "its time is up" {
+						wait = endAfter
+					}
+					c := state.submit(f, wait)
 					end.end(f, c)
 					f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
 					if got := f.outcomes(); got[0] != end.outcome {
@@ -403,11 +407,11 @@
 		f.submit(longWait, 10)
 		f.workerReads()
 		f.worker.expect("host.request 512")
-		f.worker.mu.Lock()
-		if len(f.worker.ended) != 1 {
-			t.Errorf("%s: connections ended: %v", codec, f.worker.ended)
-		}
-		f.worker.mu.Unlock()
+		f.await("the first connection ends", func() (ended bool) {
+			f.worker.set(func() { ended = len(f.worker.ended) == 1 })
+			return ended
+		})
+		f.worker.expect("host.request 512") // also once the first connection has been read to its end
 	}
 }
 
