Links and engine: state that can be derived goes, twins are one

Change: the queue derives whether a rest is wanted, and a withdrawal no longer goes over the list of dropped requests; waiting links are a slice, not a sorted map with numbers; what a dropped request says of its worker is decided in one place; cancelCallOut tells itself whether a call-out was never sent; HasUnread uses Unread; the Go client no longer copies a rest. New tests: checks, orders in both codecs, another attempt.

--- a/client/conn.go
+++ b/client/conn.go
@@ -134,7 +134,6 @@
 // connection is closed.
 func (c *conn) writeRest(rest []byte, ids []string) {
 	defer func() { <-c.writing }()
-	rest = append([]byte(nil), rest...)
 	for _, id := range ids {
 		rest = append(appendCancel(rest, id), '\n')
 	}
--- a/internal/engine/actions.go
+++ b/internal/engine/actions.go
@@ -21,7 +21,7 @@
 		r.client.QueuedChanged(false)
 	}
 	notSent := r.closed || e.now >= r.expiresAt || n >= e.maxCallOuts || r.inFlight > 1 && !e.overlap
-	id := CallOutID(uint64(rpc)<<8 | uint64(n))
+	id := r.callOutID(n)
 	switch {
 	case notSent:
 		e.deferred = append(e.deferred, func() {
@@ -76,7 +76,7 @@
 		return
 	}
 	outcome := router.Cancelled
-	if r.cancelCallOut(n) || r.callOuts[n].neverSent {
+	if r.cancelCallOut(n) {
 		outcome = router.NotSent
 	}
 	id, w := r.callOutID(n), r.callOuts[n].worker.id
--- a/internal/engine/rpc.go
+++ b/internal/engine/rpc.go
@@ -98,7 +98,7 @@
 // cancelCallOuts cancels the call-outs in flight. Those that were never sent end in the next turn.
 func (r *RPC) cancelCallOuts() {
 	for n := range r.callOuts {
-		if !r.cancelCallOut(n) {
+		if r.callOuts[n].cancelled || !r.cancelCallOut(n) {
 			continue
 		}
 		r.e.deferred = append(r.e.deferred, func() {
@@ -110,11 +110,11 @@
 }
 
 // cancelCallOut tells the link, once, that nobody waits for the n-th call-out any more. It reports whether the call-out
-// was taken back by this call, so that it is known never to have run.
+// was never sent, so that it is known never to have run.
 func (r *RPC) cancelCallOut(n int) (neverSent bool) {
 	c := &r.callOuts[n]
 	if c.ended || c.cancelled || c.link == nil {
-		return false
+		return c.neverSent
 	}
 	c.cancelled = true
 	if c.neverSent = c.link.CancelCallOut(r.callOutID(n)); c.neverSent {
@@ -150,12 +150,11 @@
 
 // timeOutCallOut ends the n-th call-out, whose time is over. It may have run unless it was never sent.
 func (r *RPC) timeOutCallOut(n int) {
-	c := &r.callOuts[n]
-	if c.ended {
+	if r.callOuts[n].ended {
 		return
 	}
 	outcome := router.TimedOut
-	if r.cancelCallOut(n) || c.neverSent {
+	if r.cancelCallOut(n) {
 		outcome = router.NotSent
 	}
 	r.endCallOut(n, outcome, router.WarmthUnknown, 0, nil, nil, nil)
--- a/internal/httplink/exchange.go
+++ b/internal/httplink/exchange.go
@@ -54,8 +54,8 @@
 func (l *Link) start(m message, onEnd func(r result)) *exchange {
 	now := l.set.loop.Now()
 	m.conditions.DecidedAt, m.conditions.Deadline = now, now+eventloop.FromDuration(m.timeout)
-	x := &exchange{link: l, options: l.set.options, message: m, deadline: time.Now().Add(m.timeout), onEnd: onEnd}
-	x.permit.Conditions = m.conditions
+	x := &exchange{link: l, options: l.set.options, message: m, deadline: time.Now().Add(m.timeout), onEnd: onEnd,
+		permit: outbound.Permit{Conditions: m.conditions}}
 	x.ctx, x.cancel = context.WithCancel(context.Background())
 	conn := l.takeIdle()
 	if conn == nil {
--- a/internal/httplink/httplink_test.go
+++ b/internal/httplink/httplink_test.go
@@ -17,6 +17,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/eventloop"
+	"mallowlanding/internal/eventloop/eventlooptest"
 	"mallowlanding/internal/httpconn"
 	"mallowlanding/internal/outbound"
 	"mallowlanding/router"
@@ -98,11 +99,7 @@
 }
 
 // inTurn runs do in a turn of the event loop and waits for it.
-func (f *fixture) inTurn(do func()) {
-	done := make(chan bool)
-	f.loop.Post(func() { do(); close(done) })
-	<-done
-}
+func (f *fixture) inTurn(do func()) { eventlooptest.InTurn(f.loop, do) }
 
 // startMessage starts an exchange; its result arrives on the channel.
 func (f *fixture) startMessage(timeout time.Duration) (x *exchange, ended chan result) {
@@ -391,7 +388,7 @@
 	f.gate <- true
 	f.expectRequest("")
 	f.expectRequest("")
-	f.await("the exchanges end", func() bool {
+	eventlooptest.Await(t, f.loop, "the exchanges end", func() bool {
 		l := f.set.links["w"]
 		return len(l.callOuts) == 0 && len(l.orders) == 0
 	})
@@ -430,15 +427,3 @@
 func testRPC() *engine.RPC {
 	return &engine.RPC{Method: &engine.Method{Name: "m"}, Function: "f", ClientRPCID: "1"}
 }
-
-// await waits until what condition returns in a turn is true.
-func (f *fixture) await(what string, condition func() bool) {
-	f.t.Helper()
-	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		ok := false
-		if f.inTurn(func() { ok = condition() }); ok {
-			return
-		}
-	}
-	f.t.Fatal("timeout: " + what)
-}
--- a/internal/outbound/queue.go
+++ b/internal/outbound/queue.go
@@ -57,8 +57,7 @@
 	ends   []int      // where the messages of buffer end
 	begun  []*Message // the messages of buffer
 	rest   []byte     // the rest of the message in progress; part of buffer or a greeting
-	open   []string   // requests of the message in progress that are still wanted
-	wanted bool       // the message in progress has been wanted since it was begun
+	open   []string   // requests of the message in progress that are still wanted; a notification always is
 }
 
 // NewQueue returns an empty queue.
@@ -67,7 +66,7 @@
 }
 
 // Greet has bytes written before all messages. It must be called before the first call of Next.
-func (q *Queue) Greet(bytes []byte) { q.rest, q.wanted = bytes, true }
+func (q *Queue) Greet(bytes []byte) { q.rest, q.open = bytes, []string{""} }
 
 // Add adds a message at the end.
 func (q *Queue) Add(m *Message) {
@@ -98,10 +97,7 @@
 		if q.check(m, now); len(m.Requests) == 0 {
 			continue
 		}
-		q.ids = q.ids[:0]
-		for i := range m.Requests {
-			q.ids = append(q.ids, m.Requests[i].ID)
-		}
+		q.ids = appendIDs(q.ids[:0], m)
 		q.buffer = m.AppendTo(q.buffer, now, q.ids)
 		q.ends, q.begun = append(q.ends, len(q.buffer)), append(q.begun, m)
 		if len(q.buffer) >= chunkBytes {
@@ -136,7 +132,7 @@
 		}
 		end := q.ends[i]
 		if n < end {
-			q.rest, q.open, q.wanted = q.buffer[n:end], idsOf(m), true
+			q.rest, q.open = q.buffer[n:end], appendIDs(nil, m)
 		}
 		q.begin(m)
 		start = end
@@ -144,10 +140,10 @@
 	q.ends, q.begun = q.ends[:0], q.begun[:0]
 }
 
-func idsOf(m *Message) []string {
-	ids := make([]string, len(m.Requests))
+// appendIDs appends the ids of a message's requests.
+func appendIDs(ids []string, m *Message) []string {
 	for i := range m.Requests {
-		ids[i] = m.Requests[i].ID
+		ids = append(ids, m.Requests[i].ID)
 	}
 	return ids
 }
@@ -188,25 +184,33 @@
 	}
 }
 
-// check removes the requests of m whose conditions no longer hold.
+// check drops the requests of m whose conditions no longer hold.
 func (q *Queue) check(m *Message, now router.Time) {
-	q.removeRequests(m, func(r *Request) error { return r.Conditions.Check(now, q.pauses) })
+	q.drop(m, func(r *Request) error { return r.Conditions.Check(now, q.pauses) })
+}
+
+// drop removes the requests of m for which why returns an error, and lists them as dropped.
+func (q *Queue) drop(m *Message, why func(r *Request) error) {
+	q.remove(m, func(r *Request) bool {
+		err := why(r)
+		if err != nil && r.ID != "" {
+			q.dropped = append(q.dropped, Dropped{r.ID, err})
+		}
+		return err != nil
+	})
 }
 
-// removeRequests removes the requests of m for which why returns an error, and lists them as dropped.
-func (q *Queue) removeRequests(m *Message, why func(r *Request) error) {
+// remove removes the requests of m for which unwanted returns true.
+func (q *Queue) remove(m *Message, unwanted func(r *Request) bool) {
 	if len(m.Requests) == 0 {
 		return
 	}
 	m.Requests = slices.DeleteFunc(m.Requests, func(r Request) bool {
-		err := why(&r)
-		if err == nil {
-			return false
-		}
-		if q.forget(r); r.ID != "" {
-			q.dropped = append(q.dropped, Dropped{r.ID, err})
+		removes := unwanted(&r)
+		if removes {
+			q.forget(r)
 		}
-		return true
+		return removes
 	})
 	if len(m.Requests) == 0 {
 		m.AppendTo = nil // releases the payload
@@ -231,28 +235,21 @@
 	state := q.State(id)
 	switch state {
 	case Unsent:
-		q.removeRequests(q.unsent[id], func(r *Request) error {
-			if r.ID == id {
-				return ErrWithdrawn
-			}
-			return nil
-		})
-		q.dropped = q.dropped[:len(q.dropped)-1]
+		q.remove(q.unsent[id], func(r *Request) bool { return r.ID == id })
 		q.compact()
 	case Begun:
 		q.open = slices.DeleteFunc(q.open, func(other string) bool { return other == id })
-		q.wanted = len(q.open) > 0
 	}
 	return state
 }
 
 // RestUnwanted reports whether a message is half written and nobody waits for an answer to it any more.
-func (q *Queue) RestUnwanted() bool { return len(q.rest) > 0 && !q.wanted }
+func (q *Queue) RestUnwanted() bool { return len(q.rest) > 0 && len(q.open) == 0 }
 
 // DropUnsent drops all requests that have not been begun; notifications stay.
 func (q *Queue) DropUnsent(err error) {
 	for _, m := range q.messages {
-		q.removeRequests(m, func(r *Request) error {
+		q.drop(m, func(r *Request) error {
 			if r.ID == "" {
 				return nil
 			}
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -158,6 +158,20 @@
 	}
 }
 
+// prepareDay reads a scenario of testdata, and makes a folder for its processes until the test ends. The folder's path is
+// short, since paths of sockets are limited.
+func prepareDay(t *testing.T, file string) (s *settings.Scenario, dir string) {
+	s, err := settings.ReadScenario(filepath.Join("testdata", file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if dir, err = os.MkdirTemp("", "ml"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return s, dir
+}
+
 // TestAuditorFindsBrokenRules checks that the auditor reports each front end that breaks a rule, with the number of the
 // rule, the RPC and the time, and does not report a front end that breaks none.
 func TestAuditorFindsBrokenRules(t *testing.T) {
@@ -170,15 +184,7 @@
 		rule int
 	}{{"none", 0}, {"1", 1}, {"1 twice", 1}, {"1 late", 1}, {"2", 2}, {"3", 3}, {"4", 4}, {"5", 5}} {
 		t.Run(c.name, func(t *testing.T) {
-			s, err := settings.ReadScenario(filepath.Join("testdata", "short.xml"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			dir, err := os.MkdirTemp("", "ml")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer os.RemoveAll(dir)
+			s, dir := prepareDay(t, "short.xml")
 			wrapper := filepath.Join(dir, "program")
 			script := fmt.Sprintf("#!/bin/sh\n%s='%s' exec '%s' \"$@\"\n", brokenRuleEnv, c.name, exe)
 			if err := os.WriteFile(wrapper, []byte(script), 0o700); err != nil {
@@ -217,19 +223,11 @@
 // TestNothingIsSentLateToHangingWorker guards against RPCs that wait for a worker that reads nothing, and are sent to it
 // when it goes on, long after their clients have their answers.
 func TestNothingIsSentLateToHangingWorker(t *testing.T) {
-	s, err := settings.ReadScenario(filepath.Join("testdata", "hang.xml"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	exe, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	dir, err := os.MkdirTemp("", "ml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer os.RemoveAll(dir)
+	s, dir := prepareDay(t, "hang.xml")
 	outcome, err := Play(context.Background(), s, exe, filepath.Join(dir, "d"), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/rosterwatch/watcher_test.go
+++ b/internal/rosterwatch/watcher_test.go
@@ -13,6 +13,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/eventloop"
+	"mallowlanding/internal/eventloop/eventlooptest"
 	"mallowlanding/internal/routing/routingtest"
 	"mallowlanding/internal/workerlink"
 	"mallowlanding/router"
@@ -82,9 +83,8 @@
 		}
 	}()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		state := make(chan string, 1)
-		loop.Post(func() { state <- w.RosterState("w") })
-		if <-state == "draining" {
+		state := ""
+		if eventlooptest.InTurn(loop, func() { state = w.RosterState("w") }); state == "draining" {
 			return
 		}
 	}
--- a/internal/sockio/sockio.go
+++ b/internal/sockio/sockio.go
@@ -60,13 +60,7 @@
 }
 
 // HasUnread reports whether bytes have been received that nobody has read.
-func (s Socket) HasUnread() bool {
-	if s.raw == nil {
-		return false
-	}
-	n, err := peek(s.raw)
-	return err == nil && n > 0
-}
+func (s Socket) HasUnread() bool { return s.Unread() > 0 }
 
 // Unread returns how many bytes have been received that nobody has read; 0 if that is not known.
 func (s Socket) Unread() (n int) {
@@ -77,22 +71,14 @@
 	return max(n, 0)
 }
 
-// IsIdle reports whether the connection is open and has no unread bytes.
-func IsIdle(raw syscall.RawConn) bool {
-	_, err := peek(raw)
-	return err == unix.EAGAIN
-}
-
-// peek checks for a next byte without consuming it. It returns 0 bytes if the peer has closed its sending side.
-func peek(raw syscall.RawConn) (n int, err error) {
-	controlErr := raw.Control(func(fd uintptr) {
+// IsIdle reports whether the connection is open and has no unread bytes. It looks for a next byte without consuming it.
+func IsIdle(raw syscall.RawConn) (idle bool) {
+	_ = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		idle = err == unix.EAGAIN
 	})
-	if controlErr != nil {
-		return 0, controlErr
-	}
-	return n, err
+	return idle
 }
 
 // PeerClosed reports whether the peer has closed the connection or its sending side, even if bytes received before that
--- a/internal/workerlink/batches.go
+++ b/internal/workerlink/batches.go
@@ -1,12 +1,9 @@
 package workerlink
 
 import (
-	"errors"
 	"slices"
 
 	"mallowlanding/internal/engine"
-	"mallowlanding/internal/outbound"
-	"mallowlanding/router"
 )
 
 // batchKey identifies the RPCs that may be sent in one batch: those of one function to one worker.
@@ -59,10 +56,7 @@
 		}
 	}
 	slices.Sort(ids)
-	outcome := router.Full
-	if errors.Is(err, outbound.ErrConnectionLost) {
-		outcome = router.ConnectFailed
-	}
+	outcome := l.outcomeOfDropped(err)
 	for _, id := range ids {
 		s.unbatch(id)
 		s.loop.Post(func() { l.callOutRequest(id).onEnded(outcome, l.name+": "+err.Error()) })
--- a/internal/workerlink/link.go
+++ b/internal/workerlink/link.go
@@ -19,10 +19,9 @@
 // connection is then closed, so that the worker never gets the message whole.
 const unwantedRestTimeout = 100 * time.Millisecond
 
-// Link is the link to one worker. Its fields are used in turns of the event loop only, except out.
+// Link is the link to one worker. Its fields are used in turns of the event loop only.
 type Link struct {
 	set          *Set
-	number       uint64 // position among all links of the set
 	name, socket string
 	id           router.WorkerID
 	ctx          context.Context
@@ -33,6 +32,7 @@
 	inFlight     map[string]*request // requests on out that have not ended, by id
 	lastSequence uint64              // of the requests
 	flushes      bool                // the link is in set.toFlush
+	waits        bool                // the link is in set.waiting
 }
 
 // request is a request that has not ended. onEnded is called if the worker does not answer, onResponse if it does.
@@ -43,8 +43,7 @@
 }
 
 func newLink(s *Set, name, socket string, id router.WorkerID) *Link {
-	s.created++
-	l := &Link{set: s, number: s.created, name: name, socket: socket, id: id, wanted: true, inFlight: map[string]*request{}}
+	l := &Link{set: s, name: name, socket: socket, id: id, wanted: true, inFlight: map[string]*request{}}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	l.out = newStream(l)
 	return l
@@ -244,18 +243,19 @@
 // flush writes what the worker takes now. It watches the rest for the end of its time.
 func (l *Link) flush() {
 	l.flushes = false
-	if l.out.flush(); l.out.hasUnsent() {
-		l.set.waiting[l.number] = l
+	if l.out.flush(); l.out.hasUnsent() && !l.waits {
+		l.waits = true
+		l.set.waiting = append(l.set.waiting, l)
 	}
 	l.postDropped(l.out)
 }
 
-// expire ends the requests that may not be sent any more.
-func (l *Link) expire() {
-	if l.out.expire(l.set.now); !l.out.hasUnsent() {
-		delete(l.set.waiting, l.number)
-	}
+// expire ends the requests that may not be sent any more. It reports whether others still wait.
+func (l *Link) expire() (waits bool) {
+	l.out.expire(l.set.now)
 	l.endDropped()
+	l.waits = l.out.hasUnsent()
+	return l.waits
 }
 
 // dropUnsent ends the requests that have not been sent.
@@ -293,7 +293,7 @@
 // outcomeOfDropped returns what the end of a request that was never sent says about its worker.
 func (l *Link) outcomeOfDropped(err error) router.Outcome {
 	switch {
-	case errors.Is(err, outbound.ErrWaited) && !l.out.isReady():
+	case errors.Is(err, outbound.ErrConnectionLost), errors.Is(err, outbound.ErrWaited) && !l.out.isReady():
 		return router.ConnectFailed
 	case errors.Is(err, outbound.ErrWaited), errors.Is(err, outbound.ErrWithdrawn):
 		return router.Full
--- a/internal/workerlink/link_test.go
+++ b/internal/workerlink/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"mallowlanding/internal/engine"
 	"mallowlanding/internal/eventloop"
+	"mallowlanding/internal/eventloop/eventlooptest"
 	"mallowlanding/internal/nameid"
 	"mallowlanding/internal/outbound"
 	"mallowlanding/internal/routing/routingtest"
@@ -21,10 +23,9 @@
 )
 
 const (
-	testTimeout = 5 * time.Second
-	settleTime  = 30 * time.Millisecond // in which a message that is sent by mistake arrives
-	longWait    = time.Minute
-	largeBytes  = 1 << 20 // of a payload that no socket takes at once
+	settleTime = 30 * time.Millisecond // in which a message that is sent by mistake arrives
+	longWait   = time.Minute
+	largeBytes = 1 << 20 // of a payload that no socket takes at once
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -97,26 +98,16 @@
 var codecs = map[string]string{"json": "[]", "cbor": `["cbor"]`}
 
 // inTurn runs do in a turn of the event loop and waits for it.
-func (f *fixture) inTurn(do func()) {
-	done := make(chan bool)
-	f.loop.Post(func() { do(); close(done) })
-	<-done
-}
-
-func (f *fixture) addLink() {
-	f.inTurn(func() { f.set.Add("w", f.worker.socket(), nameid.Worker("w")) })
-}
+func (f *fixture) inTurn(do func()) { eventlooptest.InTurn(f.loop, do) }
 
 // await waits until what condition returns in a turn is true.
 func (f *fixture) await(what string, condition func() bool) {
 	f.t.Helper()
-	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		ok := false
-		if f.inTurn(func() { ok = condition() }); ok {
-			return
-		}
-	}
-	f.t.Fatal("timeout: " + what)
+	eventlooptest.Await(f.t, f.loop, what, condition)
+}
+
+func (f *fixture) addLink() {
+	f.inTurn(func() { f.set.Add("w", f.worker.socket(), nameid.Worker("w")) })
 }
 
 func (f *fixture) link() *Link { return f.set.links["w"] }
@@ -171,10 +162,15 @@
 
 func (f *fixture) workerReads() { f.worker.set(func() { f.worker.reading = true }) }
 
-// outcomes returns how the call-outs ended so far.
-func (f *fixture) outcomes() (out []router.Outcome) {
-	f.inTurn(func() { out = slices.Clone(f.router.Outcomes) })
-	return out
+// expectOutcomes waits until call-outs have ended, and checks that they are all and how they ended.
+func (f *fixture) expectOutcomes(want ...router.Outcome) {
+	f.t.Helper()
+	f.await("the call-outs end", func() bool { return len(f.router.Outcomes) >= len(want) })
+	f.inTurn(func() {
+		if !slices.Equal(f.router.Outcomes, want) {
+			f.t.Errorf("outcomes %v, want %v", f.router.Outcomes, want)
+		}
+	})
 }
 
 // ends are the ways in which a call-out may end before it is sent, with the outcome that the router gets. Each is given
@@ -252,9 +248,11 @@
 					c := state.submit(f, wait)
 					end.end(f, c)
 					f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
-					if got := f.outcomes(); got[0] != end.outcome {
-						t.Fatalf("outcome %s, want %s", got[0], end.outcome)
-					}
+					f.inTurn(func() {
+						if got := f.router.Outcomes[0]; got != end.outcome {
+							t.Errorf("outcome %s, want %s", got, end.outcome)
+						}
+					})
 					state.goOn(f)
 					if endName == "the worker has moved" || endName == "the worker is gone" && state.before == "" {
 						f.worker.expect("") // the connection has been closed, or is closed half-way in a message
@@ -286,8 +284,8 @@
 		},
 		"nothing proves that the worker does not drain": func(f *fixture, _ *client) { time.Sleep(60 * time.Millisecond) },
 	} {
-		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, "json", nil)
+		for _, codec := range []string{"json", "cbor"} {
+			f := newFixture(t, codec, nil)
 			f.addLink()
 			c := f.block()
 			f.inTurn(func() {
@@ -295,14 +293,44 @@
 				f.router.Actions.OrderLoad(nameid.Worker("w"), nameid.Function("f"), 1, sendBy)
 			})
 			end(f, c)
+			f.workerReads()
+			want := "host.request 256"
 			if name == "no RPC needs it" {
-				f.workerReads()
-				f.worker.expect("host.request 256, host.call_off 256")
-				return
+				want += ", host.call_off 256"
 			}
-			f.workerReads()
-			f.worker.expect("host.request 256")
+			f.worker.expect(want)
+		}
+	}
+}
+
+// TestCheckIsNotSentAfterItsEnd checks that a check that the worker does not take in time is never sent, so that checks of a worker
+// that reads nothing don't add up.
+func TestCheckIsNotSentAfterItsEnd(t *testing.T) {
+	for _, codec := range []string{"json", "cbor"} {
+		f := newFixture(t, codec, nil)
+		f.addLink()
+		f.block()
+		f.inTurn(func() { f.set.UpdateLimits(Limits{ConnectTimeout: 20 * time.Millisecond}) })
+		f.inTurn(func() { f.router.Actions.Check(nameid.Worker("w")) })
+		f.await("the check ends", func() bool { return len(f.link().inFlight) == 1 })
+		f.workerReads()
+		f.worker.expect("host.request 256")
+	}
+}
+
+// TestOtherAttemptIsNotSentAfterAnswer checks that of two call-outs of an RPC the one that waits is never sent once the
+// other one is answered.
+func TestOtherAttemptIsNotSentAfterAnswer(t *testing.T) {
+	for _, codec := range []string{"json", "cbor"} {
+		f := newFixture(t, codec, nil)
+		f.addLink()
+		c := f.block()
+		f.inTurn(func() { f.router.Actions.Send(c.id, nameid.Worker("w"), 0, math.MaxInt64) })
+		f.inTurn(func() {
+			f.engine.CallOutEnded(256, nameid.Worker("w"), router.OK, router.AlreadyWarm, 0, nil, []byte("1"), nil)
 		})
+		f.workerReads()
+		f.worker.expect("host.request 256")
 	}
 }
 
@@ -315,10 +343,7 @@
 	f.await("the worker is ready", func() bool { return f.link().out.isReady() })
 	f.block()
 	f.submit(longWait, 10)
-	f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.Full}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.Full)
 	f.workerReads()
 	f.worker.expect("host.request 256")
 
@@ -326,10 +351,7 @@
 	f.worker.set(func() { f.worker.ready = false })
 	f.addLink()
 	f.submit(longWait, 10)
-	f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.ConnectFailed}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.ConnectFailed)
 }
 
 // TestUpdateLimits checks that a new connect timeout holds for what is sent from then on.
@@ -339,10 +361,7 @@
 	f.block()
 	f.inTurn(func() { f.set.UpdateLimits(Limits{ConnectTimeout: 50 * time.Millisecond}) })
 	f.submit(longWait, 10)
-	f.await("the call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.Full}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.Full)
 }
 
 // TestNotSentAfterPause checks that what was decided on before a pause of the process is not sent after it: changes of
@@ -361,9 +380,7 @@
 		time.Sleep(settleTime)
 	})
 	f.worker.expect("host.request 256")
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.NotSent}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.NotSent)
 }
 
 // TestTimeLeftWhenSent checks that time_ms is the time that is left when the request is sent.
@@ -433,10 +450,7 @@
 	f.block()
 	f.submit(longWait, 10)
 	f.worker.set(func() { f.worker.conns[0].Close() })
-	f.await("the call-outs end", func() bool { return len(f.router.Outcomes) == 2 })
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.Reset, router.ConnectFailed}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.Reset, router.ConnectFailed)
 }
 
 // TestResponseToUnsentRequest checks that a response to a request that the worker can't have is passed over.
@@ -463,10 +477,7 @@
 	f.block()
 	f.submit(longWait, largeBytes)
 	f.submit(longWait, 10)
-	f.await("a call-out ends", func() bool { return len(f.router.Outcomes) > 0 })
-	if got := f.outcomes(); !slices.Equal(got, []router.Outcome{router.Full}) {
-		t.Errorf("outcomes %v", got)
-	}
+	f.expectOutcomes(router.Full)
 }
 
 // TestBatchWithoutEndedRPCs checks that a batch that waits for its worker is sent without the RPCs that have ended.
--- a/internal/workerlink/set.go
+++ b/internal/workerlink/set.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -58,9 +57,8 @@
 	connectTimeout      atomic.Int64  // in ns; see Limits
 	pauses              outbound.PauseDetector
 	now                 router.Time
-	toFlush             []*Link          // requests or notifications were queued on them in this turn of the event loop
-	waiting             map[uint64]*Link // requests on them wait for a connection or for the worker to read; by number
-	created             uint64           // links created so far
+	toFlush             []*Link // requests or notifications were queued on them in this turn of the event loop
+	waiting             []*Link // requests on them wait for a connection or for the worker to read
 
 	batches *batch.Batcher[batchKey, engine.CallOutID]
 	batched map[engine.CallOutID]batchedCallOut // in batches that are not due
@@ -69,8 +67,8 @@
 // New returns an empty set whose links exist until the context ends.
 func New(ctx context.Context, loop *eventloop.Loop, e *engine.Engine, opts Options) *Set {
 	s := &Set{opts: opts, loop: loop, engine: e, links: map[string]*Link{}, ctx: ctx,
-		unwantedRestTimeout: unwantedRestTimeout, waiting: map[uint64]*Link{},
-		batches: batch.New[batchKey, engine.CallOutID](), batched: map[engine.CallOutID]batchedCallOut{}}
+		unwantedRestTimeout: unwantedRestTimeout,
+		batches:             batch.New[batchKey, engine.CallOutID](), batched: map[engine.CallOutID]batchedCallOut{}}
 	s.UpdateLimits(opts.Limits)
 	return s
 }
@@ -138,12 +136,7 @@
 // Expire ends the requests that have waited for too long. Call it in each turn of the event loop, before the engine's
 // EndTurn.
 func (s *Set) Expire() {
-	if len(s.waiting) == 0 {
-		return
-	}
-	for _, number := range slices.Sorted(maps.Keys(s.waiting)) {
-		s.waiting[number].expire()
-	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(l *Link) bool { return !l.expire() })
 }
 
 // NextDue returns when a batch is due to be sent, or a request has waited for too long; false: there is none.
--- a/internal/workerlink/stream.go
+++ b/internal/workerlink/stream.go
@@ -7,7 +7,6 @@
 	"syscall"
 	"time"
 
-	"mallowlanding/internal/eventloop"
 	"mallowlanding/internal/outbound"
 	"mallowlanding/internal/sockio"
 	"mallowlanding/router"
@@ -20,7 +19,6 @@
 // each turn. While the socket accepts nothing more, a goroutine of the stream waits for it and writes.
 type stream struct {
 	link *Link
-	loop *eventloop.Loop
 
 	// set when the worker becomes ready, in a turn of the event loop and with mu held
 	conn    net.Conn
@@ -38,7 +36,7 @@
 }
 
 func newStream(l *Link) *stream {
-	st := &stream{link: l, loop: l.set.loop, queue: outbound.NewQueue(&l.set.pauses)}
+	st := &stream{link: l, queue: outbound.NewQueue(&l.set.pauses)}
 	st.changed = sync.NewCond(&st.mu)
 	return st
 }
@@ -146,7 +144,7 @@
 // accepts nothing more. A message is begun in the same moment in which its conditions are checked. The caller holds mu.
 func (st *stream) writeLocked(fd uintptr) (finished bool, err error) {
 	for {
-		next := st.queue.Next(st.loop.Now())
+		next := st.queue.Next(st.link.set.loop.Now())
 		if len(next) == 0 {
 			return true, nil
 		}
--- a/internal/workerlink/worker_test.go
+++ b/internal/workerlink/worker_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 
+	"mallowlanding/internal/eventloop/eventlooptest"
 	"mallowlanding/internal/frames"
 	"mallowlanding/internal/jsonrpc"
 )
@@ -197,7 +198,7 @@
 // expect waits until the worker has received exactly the given messages. Then it waits a little for others.
 func (w *testWorker) expect(want string) {
 	w.t.Helper()
-	for deadline := time.Now().Add(testTimeout); w.list() != want && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(eventlooptest.Timeout); w.list() != want && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(settleTime)
